--- a/conf/conf.go
+++ b/conf/conf.go
@@ -131,6 +131,7 @@
 	s.Core.Member.Self.Zone = s.Zone
 	s.Core.Member.Self.Addr = s.Peers
 	s.Core.Ledger.Node = s.Node
+	s.Core.Ledger.Retention = s.Core.Retention
 	s.Core.Route.Node = s.Node
 	s.Core.Route.Zone = s.Zone
 }
--- a/ledger/attempt.go
+++ b/ledger/attempt.go
@@ -21,7 +21,8 @@
 	if k != nil && l.answerKnown(e, k) {
 		return
 	}
-	if isBound && !e.Fenced {
+	if isBound {
+		// Its issuer may have run it, with a body that nobody else knows.
 		l.refuse(e, ReasonLost)
 		return
 	}
@@ -107,8 +108,7 @@
 		l.giveUp(a, ReasonDeadline)
 		return
 	}
-	_, _, isBound := Issuer(a.submit.Key.ID)
-	if !isBound && !a.dispatched && k.winner() == own {
+	if !a.dispatched && k.winner() == own {
 		l.dispatch(a)
 		return
 	}
@@ -250,13 +250,11 @@
 }
 
 // alone reports whether the log shows that no other attempt of the key can have
-// been dispatched. Where fencing allows a takeover, or where the key's issuer
-// may have run it without a claim, the log cannot show that.
+// been dispatched. Where fencing allows a takeover, the log cannot show that.
 func (l *Ledger) alone(k *keyState, a *attempt) bool {
-	_, _, isBound := Issuer(a.submit.Key.ID)
 	w := k.winner()
 	first := w != nil && w.attempt == a.submit.Attempt
-	return first && k.result == nil && !k.lost && !isBound && !a.submit.Fenced
+	return first && k.result == nil && !k.lost && !a.submit.Fenced && !l.missing(a.submit.Key)
 }
 
 // giveUp ends an attempt that was not dispatched. The answer is NotRun only
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"teaselplank/wire"
@@ -63,6 +65,8 @@
 	released map[string]time.Time
 	// reading is true while a Read is under way.
 	reading bool
+	// started is true once a page was folded.
+	started bool
 
 	// pending waits for the next append; flight is the one under way.
 	pending []Entry
@@ -141,8 +145,9 @@
 	s := l.shards[e.Shard]
 	s.reading = false
 	if e.Page.First > s.next {
-		s.miss(now, e.Page)
+		l.miss(now, s, e.Page)
 	}
+	s.started = true
 	var touched []Key
 	for _, r := range e.Page.Records {
 		if r.Offset < s.next {
@@ -160,13 +165,46 @@
 	l.prune(now, s)
 }
 
-// miss notes that records before the page are gone from the log.
-func (s *shard) miss(now time.Time, page wire.Page) {
-	s.since = now
+// miss notes that records before the page are gone from the log. A ledger that
+// begins relies on the log's retention: what is gone is older than that. One that
+// has followed the stream knows that it was kept from reading for too long, and
+// relies on the records that are left.
+func (l *Ledger) miss(now time.Time, s *shard, page wire.Page) {
+	s.next = page.First
+	since := now
 	if len(page.Records) > 0 {
-		s.since = page.Records[0].Time
+		since = page.Records[0].Time
 	}
-	s.next = page.First
+	if !s.started {
+		since = now.Add(-l.config.Retention)
+	}
+	if since.After(s.since) {
+		s.since = since
+	}
+	for _, a := range l.sortedAttempts() {
+		if l.shardOf(a.submit.Key) == s && a.status != running && l.missing(a.submit.Key) {
+			l.giveUp(a, ReasonExpired)
+		}
+	}
+}
+
+// missing reports whether claims of the key may be among the missed records.
+func (l *Ledger) missing(k Key) bool {
+	since := l.shardOf(k).since
+	if since.IsZero() {
+		return false
+	}
+	issued, err := IssueTime(k.ID)
+	return err != nil || !issued.After(since.Add(l.config.MaxSkew))
+}
+
+func (l *Ledger) sortedAttempts() []*attempt {
+	sorted := make([]*attempt, 0, len(l.attempts))
+	for _, a := range l.attempts {
+		sorted = append(sorted, a)
+	}
+	slices.SortFunc(sorted, func(a, b *attempt) int { return strings.Compare(a.submit.Attempt, b.submit.Attempt) })
+	return sorted
 }
 
 func (l *Ledger) foldRecord(now time.Time, s *shard, r wire.Record) []Key {
--- a/ledger/keys.go
+++ b/ledger/keys.go
@@ -74,8 +74,7 @@
 	if !issued.After(now.Add(-l.config.Window)) {
 		return ReasonExpired
 	}
-	since := l.shardOf(s.Key).since
-	if !since.IsZero() && !issued.After(since.Add(l.config.MaxSkew)) {
+	if l.missing(s.Key) {
 		return ReasonExpired
 	}
 	return ""
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -32,9 +32,11 @@
 	Incarnation string
 	// Shards is the number of log streams that the keys are spread over.
 	Shards int
-	// Window is the age up to which keys are accepted. The log must retain
-	// records for at least Window and twice MaxSkew.
+	// Window is the age up to which keys are accepted.
 	Window time.Duration
+	// Retention is how long the log keeps records: at least Window and twice
+	// MaxSkew.
+	Retention time.Duration
 	// MaxSkew bounds the difference between any two clocks.
 	MaxSkew time.Duration
 	// AppendInterval is the least time between two appends to a shard.
@@ -56,6 +58,7 @@
 	return Config{
 		Shards:         4,
 		Window:         24 * time.Hour,
+		Retention:      48 * time.Hour,
 		MaxSkew:        time.Minute,
 		AppendInterval: 20 * time.Millisecond,
 		DownAfter:      time.Second,
