--- a/core/jobs.go
+++ b/core/jobs.go
@@ -193,7 +193,7 @@
 		}
 	}
 	due := last.Add(n.config.Retention/4 + time.Duration(rank)*checkpointEvery*2)
-	if now.Before(due) || !n.book.Known() || n.book.Version() == 0 {
+	if now.Before(due) || !n.book.Synced() || n.book.Version() == 0 {
 		return
 	}
 	data, err := rules.EncodeCheckpoint(n.book.Snapshot())
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -153,6 +153,9 @@
 		if r.Offset < s.next {
 			continue
 		}
+		if r.Offset > s.next {
+			break // The page was read from a later offset.
+		}
 		touched = append(touched, l.foldRecord(now, s, r)...)
 		s.next = r.Offset + 1
 	}
--- a/rules/book.go
+++ b/rules/book.go
@@ -166,7 +166,8 @@
 func (b *Book) Verdict(id string) (Verdict, bool) { return b.verdicts.Get(id) }
 
 // Fold takes in a page of the stream. Records that the book has folded already
-// are passed over, so that an old or repeated page changes nothing.
+// are passed over, and no record is folded before its predecessor, so that an old
+// or repeated page changes nothing.
 func (b *Book) Fold(page wire.Page) {
 	if !b.started {
 		b.start(page.First)
@@ -179,6 +180,9 @@
 		if r.Offset < b.next {
 			continue
 		}
+		if r.Offset > b.next {
+			return // The page was read from a later offset.
+		}
 		b.fold(r)
 		b.next = r.Offset + 1
 	}
@@ -274,7 +278,7 @@
 	if b.synced && c.Through < b.next {
 		return false
 	}
-	if c.Through+1 < b.next || !b.adopt(c) {
+	if !b.adopt(c) {
 		return false
 	}
 	b.started = true
@@ -426,8 +430,15 @@
 // At returns the rules of a recent version by kind and name.
 func (b *Book) At(version int64) (map[string]Held, bool) { return b.past.Get(version) }
 
-// Snapshot returns the state of the book as a checkpoint.
+// Synced reports whether the state includes every record before Next.
+func (b *Book) Synced() bool { return b.synced }
+
+// Snapshot returns the state of the book as a checkpoint, or nil while the book
+// is not synced.
 func (b *Book) Snapshot() *Checkpoint {
+	if !b.synced {
+		return nil
+	}
 	c := &Checkpoint{Through: b.next - 1, Version: b.version, Floor: b.floor, Lines: b.texts(), Removed: make(map[string]int64)}
 	for id, v := range b.removed {
 		c.Removed[id.String()] = v
--- a/server/peers.go
+++ b/server/peers.go
@@ -111,9 +111,7 @@
 	var checkpoint *rules.Checkpoint
 	var hosts []wire.Host
 	p.server.Query(func(n *core.Node) {
-		if n.Book().Known() {
-			checkpoint = n.Book().Snapshot()
-		}
+		checkpoint = n.Book().Snapshot()
 		hosts = n.Group().Hosts()
 	})
 	reply := &peerpb.StateReply{}
