--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -1,6 +1,8 @@
 package pipe
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"teaselplank/route"
@@ -550,8 +552,8 @@
 // ends requests whose pool has no workers left. It returns effects like Step.
 func (r *Runner) Refresh(now time.Time) []Effect {
 	r.effects = r.effects[:0]
-	for _, p := range r.pools {
-		if p.waiting() > 0 {
+	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
+		if p := r.pools[name]; p.waiting() > 0 {
 			r.pump(now, p)
 		}
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -9,7 +9,9 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -254,8 +256,8 @@
 // these for their load.
 func (t *Table) Used() []*Worker {
 	var used []*Worker
-	for _, p := range t.pools {
-		used = append(used, p.subset...)
+	for _, name := range slices.Sorted(maps.Keys(t.pools)) {
+		used = append(used, t.pools[name].subset...)
 	}
 	return used
 }
