Leave a reserve of the retry budget to retries

Cause: hedges used up the budget, so that retries were denied and requests failed. Change: a hedge needs 6 of the 10 retries that a pool can save up. Ruled out: a change of the budget itself, which bounds added load.

--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -400,8 +400,12 @@
 	return Answer{Outcome: wire.NotRun, Reason: reason, RetryAfter: minPause}
 }
 
-// maxBudget bounds the retries that a pool may save up.
-const maxBudget = 10
+// maxBudget bounds the retries that a pool may save up. Hedges leave the last
+// hedgeReserve of them to retries, without which a request fails.
+const (
+	maxBudget    = 10
+	hedgeReserve = 6
+)
 
 func (p *pool) refill(percent int) {
 	if percent > 0 {
@@ -536,7 +540,7 @@
 		return
 	}
 	avoid := append([]string{run.attempts[0].worker.ID}, run.avoid...)
-	if !r.table.HasRoom(now, p.name) || p.budget < 1 {
+	if !r.table.HasRoom(now, p.name) || p.budget < hedgeReserve {
 		return
 	}
 	w := r.table.Begin(now, p.name, route.Query{Avoid: avoid})
