Wait for a first token as long as the pool usually takes

Cause: a stream without a token counted as silent after 1 s, and a resumed one after 500 ms, although its engine was only busy; the work was thrown away and the retry denied for lack of budget. Change: the wait for an attempt's first token follows the 99th percentile of the pool's first tokens; the short bound holds once the attempt has brought one. Ruled out: longer silence for all tokens, which delays the finding of a cut.

--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -299,6 +299,8 @@
 	began  time.Time
 	// moved is when the attempt last made progress.
 	moved time.Time
+	// started is true once the attempt has brought a token.
+	started bool
 	// hedge is true for a second attempt beside a slow one.
 	hedge bool
 }
@@ -397,8 +399,10 @@
 	urgent []string
 	// ticking is true while a timer for the queue is set.
 	ticking bool
-	// latency is of attempts that were answered.
+	// latency is of attempts that were answered; for streams, by token.
 	latency latency
+	// first is of first tokens.
+	first latency
 	// budget is the number of retries that may be made now.
 	budget float64
 	// wait is a moving mean of the time that steps stood in the queue.
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -203,7 +203,7 @@
 	if step.Once {
 		return
 	}
-	r.timers.Add(now.Add(r.patience(p, step, run.tokens)), timer{kind: timerAttempt, ref: ref})
+	r.timers.Add(now.Add(r.patience(p, step, false)), timer{kind: timerAttempt, ref: ref})
 	if r.config.Hedge && step.Hedge && !step.Stream && !hedge && p.latency.known {
 		r.timers.Add(now.Add(p.latency.p95), timer{kind: timerHedge, ref: ref})
 	}
@@ -218,13 +218,14 @@
 )
 
 // patience returns how long an attempt may go without progress.
-func (r *Runner) patience(p *pool, step Step, tokens int) time.Duration {
-	if step.Stream {
-		if tokens == 0 {
-			return r.config.Silence * firstTokenScale
-		}
+func (r *Runner) patience(p *pool, step Step, started bool) time.Duration {
+	if step.Stream && started {
 		return r.config.Silence
 	}
+	if step.Stream {
+		usual := max(r.config.Silence*firstTokenScale, p.first.p99*patienceFactor)
+		return min(usual, r.config.AttemptTimeout)
+	}
 	if !r.config.Early || !p.latency.known {
 		return r.config.AttemptTimeout
 	}
@@ -259,6 +260,10 @@
 		return
 	}
 	a.moved = now
+	if !a.started {
+		a.started = true
+		r.pool(run.step().Pool).first.record(now, now.Sub(a.began))
+	}
 	run.tokens = e.Tokens
 }
 
@@ -519,7 +524,7 @@
 		return
 	}
 	p := r.pool(run.step().Pool)
-	due := a.moved.Add(r.patience(p, run.step(), run.tokens))
+	due := a.moved.Add(r.patience(p, run.step(), a.started))
 	if now.Before(due) {
 		r.timers.Add(due, timer{kind: timerAttempt, ref: ref})
 		return
