Pass over workers whose load reports have stopped

Cause: calls to workers of a zone that is cut off, or to a frozen host, waited for their timeouts one after the other. Change: a worker whose last load report is older than 1 s is passed over while others of its pool report; one whose calls have failed gets one call at a time. Ruled out: probing each such worker with a call, which costs that call a second.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -114,7 +114,7 @@
 		c.Pipe = pipe.BaselineConfig()
 		c.FollowRules = false
 		c.Route.Adaptive = false
-		c.Route.SuspectFor, c.Route.MaxSuspect = 0, 0
+		c.Route.SuspectFor, c.Route.MaxSuspect, c.Route.Heartbeat = 0, 0, 0
 	}}
 }
 
--- a/route/policy.go
+++ b/route/policy.go
@@ -11,9 +11,20 @@
 	if w.leaving || w.Suspect(v.Now) || slices.Contains(q.Avoid, w.host.ID) {
 		return false
 	}
+	if v.Fresh && w.stale(v) {
+		return false
+	}
+	if w.failures > 0 && w.flight > 0 {
+		return false // One call shows whether it is back.
+	}
 	return !v.Config.Adaptive || float64(w.flight) < w.limit
 }
 
+// stale reports whether the worker used to report its load and has stopped.
+func (w *Worker) stale(v *View) bool {
+	return v.Config.Heartbeat > 0 && !w.reported.IsZero() && v.Now.Sub(w.reported) > v.Config.Heartbeat
+}
+
 // pressure estimates how full the worker is: 1 is a worker whose slots are all
 // taken. A reported load counts less the older it is, and this node's own calls
 // count exactly.
--- a/route/route.go
+++ b/route/route.go
@@ -36,6 +36,9 @@
 	// it failed; it doubles with each failure up to MaxSuspect.
 	SuspectFor time.Duration
 	MaxSuspect time.Duration
+	// Heartbeat is the age from which a reported load tells that the worker
+	// cannot be reached; 0 is never.
+	Heartbeat time.Duration
 	// Adaptive lets concurrency limits follow the workers' answers. Without
 	// it a worker takes any number of calls.
 	Adaptive bool
@@ -50,6 +53,7 @@
 		ReportLife: 500 * time.Millisecond,
 		SuspectFor: 500 * time.Millisecond,
 		MaxSuspect: 8 * time.Second,
+		Heartbeat:  time.Second,
 		Adaptive:   true,
 	}
 }
@@ -135,6 +139,17 @@
 	Config Config
 	Now    time.Time
 	Random *rand.Rand
+	// Fresh is true when some worker of the pool has reported its load
+	// lately, so that those who have not can be told from the rest.
+	Fresh bool
+}
+
+func (t *Table) view(now time.Time, p *Pool) *View {
+	v := &View{Config: t.config, Now: now, Random: t.random}
+	for _, w := range p.subset {
+		v.Fresh = v.Fresh || !w.reported.IsZero() && !w.stale(v)
+	}
+	return v
 }
 
 // A Table is the workers of all pools under one Policy.
@@ -269,7 +284,7 @@
 	if p == nil || len(p.subset) == 0 {
 		return nil
 	}
-	w := t.policy.Pick(&View{Config: t.config, Now: now, Random: t.random}, p, q)
+	w := t.policy.Pick(t.view(now, p), p, q)
 	if w != nil {
 		w.flight++
 	}
@@ -282,9 +297,9 @@
 	if p == nil {
 		return false
 	}
-	v := View{Config: t.config, Now: now}
+	v := t.view(now, p)
 	for _, w := range p.subset {
-		if w.Usable(&v, Query{}) {
+		if w.Usable(v, Query{}) {
 			return true
 		}
 	}
