Keep account shares by pool

Cause: in a surge on one pipeline the calls of idle plain services were refused, since shares were kept over all calls of a node. Change: demand, service and shortage are kept by pool and told by gossip only while the pool is short; a call is held to its share of the pools it uses. Ruled out: one share for each pipeline, for pipelines share pools.

--- a/core/jobs.go
+++ b/core/jobs.go
@@ -5,6 +5,7 @@
 
 	"teaselplank/ledger"
 	"teaselplank/member"
+	"teaselplank/pipe"
 	"teaselplank/rules"
 	"teaselplank/wire"
 )
@@ -91,26 +92,21 @@
 // tell works out what this node tells the others, and takes in the sums of what
 // they have told.
 func (n *Node) tell(now time.Time) {
-	demand, served := n.runner.Demand(now)
-	n.stepMember(now, member.Told{Version: n.book.Version(), Demand: demand, Served: served})
-	others := make(map[string]float64)
-	var othersServed float64
+	n.stepMember(now, member.Told{Version: n.book.Version(), Rates: n.runner.Rates(now)})
+	var others []pipe.Rates
 	nodes := 1
 	for _, p := range n.group.Peers() {
 		if p.State() == member.Dead {
 			continue
 		}
 		nodes++
-		othersServed += p.Node().Served
-		for account, rate := range p.Node().Demand {
-			others[account] += rate
-		}
+		others = append(others, p.Node().Rates)
 	}
 	weights := make(map[string]int, len(n.set.Accounts))
 	for name, a := range n.set.Accounts {
 		weights[name] = a.Weight
 	}
-	n.runner.SetOthers(others, othersServed, weights)
+	n.runner.SetOthers(others, weights)
 	n.table.SetNodes(nodes)
 	writers := min(nodes, max(n.config.OwnersFrom, 1))
 	share := max(n.config.AppendsPerSecond/(writers*n.config.Ledger.Shards), 1)
@@ -150,8 +146,7 @@
 		p := n.set.Policy
 		n.runner.Configure(p.Retry, p.Hedge, p.Admission)
 	}
-	demand, served := n.runner.Demand(now)
-	n.stepMember(now, member.Told{Version: n.book.Version(), Demand: demand, Served: served})
+	n.stepMember(now, member.Told{Version: n.book.Version(), Rates: n.runner.Rates(now)})
 }
 
 // heardVersion asks a peer that has newer rules for them.
--- a/member/member.go
+++ b/member/member.go
@@ -66,10 +66,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Version is the version of the rules in force on the node.
 	Version int64 `json:"version"`
-	// Demand is the rate of each account's calls at the node, a second.
-	Demand map[string]float64 `json:"demand,omitempty"`
-	// Served is the rate of whole answers of the node, a second.
-	Served float64 `json:"served,omitempty"`
+	// Rates are rates a second that the node tells of its work. Package pipe
+	// says what the keys mean.
+	Rates map[string]float64 `json:"rates,omitempty"`
 }
 
 // A Mark says that a host's process is leaving.
@@ -151,8 +150,7 @@
 // Told sets what this node tells of itself.
 type Told struct {
 	Version int64
-	Demand  map[string]float64
-	Served  float64
+	Rates   map[string]float64
 }
 
 // Tick lets the reducer act on the time.
@@ -231,8 +229,7 @@
 		g.self.Leaving = true
 		g.mark(Mark{g.self.ID, g.self.Incarnation})
 	case Told:
-		g.self.Version, g.self.Demand = e.Version, e.Demand
-		g.self.Served = e.Served
+		g.self.Version, g.self.Rates = e.Version, e.Rates
 	case Tick:
 		g.tick(now)
 	}
--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -340,7 +340,8 @@
 	timers   queue.Timers[timer]
 	effects  []Effect
 	counts   Counts
-	shares   shares
+	// weights are the shares of the accounts by the rules.
+	weights map[string]int
 }
 
 // New returns a runner that sends its calls to the workers of the table.
@@ -408,7 +409,8 @@
 	// wait is a moving mean of the time that steps stood in the queue.
 	wait time.Duration
 	// rate is a moving mean of the answers a second.
-	rate meter
+	rate   meter
+	shares shares
 }
 
 func (r *Runner) pool(name string) *pool {
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -12,7 +12,9 @@
 // submit takes a request, or refuses it before it costs anything.
 func (r *Runner) submit(now time.Time, q Request) {
 	r.counts.Submitted++
-	r.shares.arrive(now, q.Account, q.Weight)
+	for _, s := range q.Steps {
+		r.pool(s.Pool).shares.arrive(now, q.Account)
+	}
 	if reason, wait := r.refusal(now, q); reason != "" {
 		r.refuse(q, reason, wait)
 		return
@@ -38,7 +40,7 @@
 	if first.fair.Len() >= r.config.MaxQueue {
 		return ReasonFull, wait
 	}
-	if r.config.Admission && !r.shares.admit(now, q.Account) {
+	if r.config.Admission && !r.admitted(now, q) {
 		return ReasonShare, sharePause
 	}
 	if r.config.Early && now.Add(r.remaining(now, q, 0, 0)).After(q.Deadline) {
@@ -47,6 +49,16 @@
 	return "", 0
 }
 
+// admitted reports whether the request's account may use all of its pools now.
+func (r *Runner) admitted(now time.Time, q Request) bool {
+	for _, s := range q.Steps {
+		if !r.pool(s.Pool).shares.admit(now, q.Account, r.weights) {
+			return false
+		}
+	}
+	return true
+}
+
 // What callers are told to wait where the queue does not tell, and the bounds
 // of it where it does.
 const (
@@ -174,7 +186,7 @@
 	run.waiting = false
 	waited := now.Sub(run.entered)
 	p.wait += (waited - p.wait) / waitWeight
-	r.shares.waited(now, waited)
+	p.shares.waited(now, waited)
 	if run.tries == 0 {
 		p.refill(r.config.RetryPercent)
 	}
@@ -463,7 +475,9 @@
 	switch answer.Outcome {
 	case wire.Done:
 		r.counts.Done++
-		r.shares.serve(now)
+		for _, s := range run.request.Steps {
+			r.pool(s.Pool).shares.serve(now)
+		}
 	case wire.NotRun:
 		r.counts.NotRun++
 	default:
--- a/pipe/shares.go
+++ b/pipe/shares.go
@@ -1,21 +1,23 @@
 package pipe
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"teaselplank/admit"
 )
 
-// shares keeps accounts to their part of what the system can serve while there
-// is too little room for all. Each node tells the others by gossip what its
-// accounts ask for and what it serves. From the sums every node works out the
-// same part of its demand that an account may have, and applies this part to
-// its own arrivals: allocation is common, enforcement is local.
+// shares keeps accounts to their part of what a pool can serve while there is
+// too little room for all. Each node that is short tells the others by gossip
+// what its accounts ask for and what it serves. From the sums every node works
+// out the same part of its demand that an account may have, and applies this
+// part to its own arrivals: allocation is common, enforcement is local. The zero
+// value is ready to use.
 type shares struct {
-	demand  map[string]*meter
-	weights map[string]int
-	served  meter
+	demand map[string]*meter
+	served meter
 	// others and othersServed are the sums of what the other nodes tell.
 	others       map[string]float64
 	othersServed float64
@@ -23,9 +25,11 @@
 	allowed map[string]float64
 	// credit is the part of a request that an account has saved up.
 	credit map[string]float64
-	// shortUntil is the time up to which there is too little room.
-	shortUntil time.Time
-	divided    time.Time
+	// shortUntil is the time up to which there is too little room here, and
+	// othersShort is true while another node says so.
+	shortUntil  time.Time
+	othersShort bool
+	divided     time.Time
 }
 
 // What counts as too little room, how long it holds on, how often the parts are
@@ -38,43 +42,38 @@
 	probeFactor = 1.05
 )
 
-func (s *shares) arrive(now time.Time, account string, weight int) {
-	s.init()
+func (s *shares) arrive(now time.Time, account string) {
+	if s.demand == nil {
+		s.demand = make(map[string]*meter)
+		s.allowed = make(map[string]float64)
+		s.credit = make(map[string]float64)
+	}
 	m := s.demand[account]
 	if m == nil {
 		m = &meter{}
 		s.demand[account] = m
 	}
 	m.add(now, 1)
-	s.weights[account] = weight
-}
-
-func (s *shares) init() {
-	if s.demand != nil {
-		return
-	}
-	s.demand = make(map[string]*meter)
-	s.weights = make(map[string]int)
-	s.allowed = make(map[string]float64)
-	s.credit = make(map[string]float64)
 }
 
 func (s *shares) serve(now time.Time) { s.served.add(now, 1) }
 
-// waited notes how long a step stood in a queue.
+// waited notes how long a step stood in the queue.
 func (s *shares) waited(now time.Time, wait time.Duration) {
 	if wait > shortWait {
 		s.shortUntil = now.Add(shortHold)
 	}
 }
 
+func (s *shares) short(now time.Time) bool { return now.Before(s.shortUntil) || s.othersShort }
+
 // admit reports whether a request of the account may be taken now.
-func (s *shares) admit(now time.Time, account string) bool {
-	if !now.Before(s.shortUntil) {
+func (s *shares) admit(now time.Time, account string, weights map[string]int) bool {
+	if !s.short(now) {
 		return true
 	}
 	if now.Sub(s.divided) >= divideEvery {
-		s.divide(now)
+		s.divide(now, weights)
 	}
 	part, known := s.allowed[account]
 	if !known || part >= 1 {
@@ -89,7 +88,7 @@
 }
 
 // divide works out each account's part.
-func (s *shares) divide(now time.Time) {
+func (s *shares) divide(now time.Time, weights map[string]int) {
 	s.divided = now
 	totals := make(map[string]float64, len(s.demand))
 	for account, m := range s.demand {
@@ -98,11 +97,10 @@
 	for account, rate := range s.others {
 		totals[account] += rate
 	}
-	demands := make([]admit.Demand, 0, len(totals))
-	for account, rate := range totals {
-		demands = append(demands, admit.Demand{Account: account, Weight: s.weights[account], Rate: rate})
+	var demands []admit.Demand
+	for _, account := range slices.Sorted(maps.Keys(totals)) {
+		demands = append(demands, admit.Demand{Account: account, Weight: weights[account], Rate: totals[account]})
 	}
-	sort.Slice(demands, func(i, j int) bool { return demands[i].Account < demands[j].Account })
 	capacity := (s.served.value(now) + s.othersServed) * probeFactor
 	given := admit.Divide(capacity, demands)
 	for i, d := range demands {
@@ -112,27 +110,83 @@
 	}
 }
 
-// Demand returns the rate of calls by account and of answers, a second, that
-// this node tells the others.
-func (r *Runner) Demand(now time.Time) (demand map[string]float64, served float64) {
-	demand = make(map[string]float64, len(r.shares.demand))
-	for account, m := range r.shares.demand {
-		if rate := m.value(now); rate > minDemand {
-			demand[account] = rate
+// Rates are what nodes tell each other of their pools. The key of a pool is its
+// name, with what it serves a second; that of an account is the pool's name, a
+// slash and the account's, with what it asks for a second; and the pool's name
+// and an exclamation mark say that there is too little room.
+type Rates map[string]float64
+
+// maxToldAccounts bounds the accounts told of a pool, and minDemand is the rate
+// below which one is not worth telling.
+const (
+	maxToldAccounts = 64
+	minDemand       = 0.1
+)
+
+// Rates returns what this node tells of the pools that are short.
+func (r *Runner) Rates(now time.Time) Rates {
+	rates := make(Rates)
+	for name, p := range r.pools {
+		s := &p.shares
+		if !s.short(now) {
+			continue
+		}
+		rates[name] = s.served.value(now)
+		if now.Before(s.shortUntil) {
+			rates[name+"!"] = 1
 		}
+		s.tell(now, name, rates)
 	}
-	return demand, r.shares.served.value(now)
+	return rates
 }
 
-// minDemand is the rate below which an account is not worth telling.
-const minDemand = 0.1
+// tell adds the greatest demands.
+func (s *shares) tell(now time.Time, name string, rates Rates) {
+	accounts := slices.Sorted(maps.Keys(s.demand))
+	slices.SortStableFunc(accounts, func(a, b string) int {
+		switch x, y := s.demand[a].value(now), s.demand[b].value(now); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	for _, account := range accounts[:min(len(accounts), maxToldAccounts)] {
+		if rate := s.demand[account].value(now); rate > minDemand {
+			rates[name+"/"+account] = rate
+		}
+	}
+}
 
-// SetOthers sets the sums of what the other nodes tell, and the weights of the
-// accounts.
-func (r *Runner) SetOthers(demand map[string]float64, served float64, weights map[string]int) {
-	r.shares.others, r.shares.othersServed = demand, served
-	r.shares.init()
-	for account, w := range weights {
-		r.shares.weights[account] = w
+// SetOthers sets what the other nodes tell, and the weights of the accounts.
+func (r *Runner) SetOthers(others []Rates, weights map[string]int) {
+	r.weights = weights
+	for _, p := range r.pools {
+		p.shares.others = make(map[string]float64)
+		p.shares.othersServed, p.shares.othersShort = 0, false
+	}
+	for _, rates := range others {
+		for key, rate := range rates {
+			r.addOther(key, rate)
+		}
+	}
+}
+
+func (r *Runner) addOther(key string, rate float64) {
+	name, account, isAccount := strings.Cut(key, "/")
+	if short, ok := strings.CutSuffix(name, "!"); ok {
+		if p := r.pools[short]; p != nil {
+			p.shares.othersShort = true
+		}
+		return
+	}
+	p := r.pools[name]
+	switch {
+	case p == nil:
+	case isAccount:
+		p.shares.others[account] += rate
+	default:
+		p.shares.othersServed += rate
 	}
 }
--- a/server/peers.go
+++ b/server/peers.go
@@ -221,11 +221,10 @@
 func nodeMessage(n member.Node) *peerpb.NodeMessage {
 	m := &peerpb.NodeMessage{
 		Id: n.ID, Incarnation: n.Incarnation, Addr: n.Addr, Zone: n.Zone, Beat: n.Beat,
-		Leaving: n.Leaving, Version: n.Version, Served: float32(n.Served),
-		Demand: make(map[string]float32, len(n.Demand)),
+		Leaving: n.Leaving, Version: n.Version, Rates: make(map[string]float32, len(n.Rates)),
 	}
-	for account, rate := range n.Demand {
-		m.Demand[account] = float32(rate)
+	for key, rate := range n.Rates {
+		m.Rates[key] = float32(rate)
 	}
 	return m
 }
@@ -244,13 +243,13 @@
 func nodeOf(m *peerpb.NodeMessage) member.Node {
 	n := member.Node{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), Addr: m.GetAddr(), Zone: m.GetZone(),
-		Beat: m.GetBeat(), Leaving: m.GetLeaving(), Version: m.GetVersion(), Served: float64(m.GetServed()),
+		Beat: m.GetBeat(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
 	}
-	if len(m.GetDemand()) > 0 {
-		n.Demand = make(map[string]float64, len(m.GetDemand()))
+	if len(m.GetRates()) > 0 {
+		n.Rates = make(map[string]float64, len(m.GetRates()))
 	}
-	for account, rate := range m.GetDemand() {
-		n.Demand[account] = float64(rate)
+	for key, rate := range m.GetRates() {
+		n.Rates[key] = float64(rate)
 	}
 	return n
 }
