Drop a step that would end too late before it costs anything

Cause: in a surge, calls that had stood in the queue until just before their deadline were still generated and then missed it. Change: a step that usually takes longer than the time left is not started; a pool counts as short once a wait is over 15% of the time that the call had.

--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -84,15 +84,23 @@
 // remaining estimates how long a request still takes from a stage on when tokens
 // have been generated in it: what is usual of each stage, and the waiting.
 func (r *Runner) remaining(now time.Time, q Request, stage, tokens int) time.Duration {
+	total := r.usual(q, stage, tokens)
+	for _, s := range q.Steps[stage:] {
+		total += r.pool(s.Pool).expectedWait(now)
+	}
+	return total
+}
+
+// usual is how long a request usually takes from a stage on without waiting.
+func (r *Runner) usual(q Request, stage, tokens int) time.Duration {
 	var total time.Duration
-	for i := stage; i < len(q.Steps); i++ {
-		p := r.pool(q.Steps[i].Pool)
-		total += p.expectedWait(now)
+	for _, s := range q.Steps[stage:] {
+		p := r.pool(s.Pool)
 		if !p.latency.known {
 			continue
 		}
 		usual := p.latency.p50
-		if q.Steps[i].Stream {
+		if s.Stream {
 			usual *= time.Duration(max(q.Tokens-tokens, 0))
 			tokens = 0
 		}
@@ -170,6 +178,10 @@
 const waitWeight = 8
 
 func (r *Runner) start(now time.Time, p *pool, run *running) {
+	if r.hopeless(now, run) {
+		r.end(now, run, run.failure(ReasonTooLate))
+		return
+	}
 	q := route.Query{Prefix: run.request.Prefix, Avoid: run.avoid}
 	if !run.step().Stream {
 		q.Prefix = ""
@@ -186,13 +198,23 @@
 	run.waiting = false
 	waited := now.Sub(run.entered)
 	p.wait += (waited - p.wait) / waitWeight
-	p.shares.waited(now, waited)
+	p.shares.waited(now, waited, run.request.Deadline.Sub(run.entered))
 	if run.tries == 0 {
 		p.refill(r.config.RetryPercent)
 	}
 	r.call(now, p, run, w.Host(), false)
 }
 
+// hopeless reports whether a step that may start now would usually end too late,
+// so that its work would be wasted.
+func (r *Runner) hopeless(now time.Time, run *running) bool {
+	if !r.config.Early || run.step().Once {
+		return false
+	}
+	need := r.usual(run.request, run.stage, run.tokens)
+	return now.Add(need).After(run.request.Deadline)
+}
+
 // call sends an attempt of the request's step to a worker.
 func (r *Runner) call(now time.Time, p *pool, run *running, w wire.Host, hedge bool) {
 	r.move(run, begin)
--- a/pipe/shares.go
+++ b/pipe/shares.go
@@ -36,7 +36,7 @@
 // worked out, and how much more than what was served is given out, so that the
 // system finds room that has come free.
 const (
-	shortWait   = 40 * time.Millisecond
+	shortPart   = 0.15
 	shortHold   = time.Second
 	divideEvery = 250 * time.Millisecond
 	probeFactor = 1.05
@@ -58,9 +58,9 @@
 
 func (s *shares) serve(now time.Time) { s.served.add(now, 1) }
 
-// waited notes how long a step stood in the queue.
-func (s *shares) waited(now time.Time, wait time.Duration) {
-	if wait > shortWait {
+// waited notes how long a step stood in the queue, and how much time it had.
+func (s *shares) waited(now time.Time, wait, had time.Duration) {
+	if float64(wait) > shortPart*float64(had) {
 		s.shortUntil = now.Add(shortHold)
 	}
 }
