Prove that marks spread, and grant leases for orders to engines

Cause: leaving marks, leases and orders had no proof, and orders did not exist. A process that has asked to give up a lease no longer acts under it, although its log may not show that yet. Ruled out: a lease for each engine, which the append limit does not carry. Process tests are being written.

--- a/bench/world.go
+++ b/bench/world.go
@@ -226,9 +226,9 @@
 		if !w.cutOff(n) {
 			back(platformDelay, member.Listed{Hosts: w.hosts})
 		}
-	case core.ReadRules:
-		if !w.cutOff(n) && e.From == 0 {
-			back(platformDelay, core.RulesRead{Page: w.rules})
+	case core.ReadStream:
+		if !w.cutOff(n) && e.Stream == rules.Stream && e.From == 0 {
+			back(platformDelay, core.StreamRead{Stream: e.Stream, Page: w.rules})
 		}
 	case ledger.Read:
 		if w.cutOff(n) {
--- /dev/null
+++ b/cmd/teaselplank/cluster_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselplank/client"
+	"teaselplank/fakes"
+	"teaselplank/rules"
+	"teaselplank/wire"
+)
+
+// binary is the built command.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "teaselplank")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "teaselplank")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	status := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+const (
+	callerToken   = "caller-credential"
+	operatorToken = "operator-credential"
+	patience      = 20 * time.Second
+)
+
+// A cluster is nodes as processes of their own before stand-ins in this one.
+type cluster struct {
+	t         *testing.T
+	platform  *fakes.Platform
+	url       string
+	upstreams map[string]*fakes.Upstream
+	hosts     []wire.Host
+	nodes     []*process
+	client    *client.Client
+}
+
+// A process is one node.
+type process struct {
+	t                         *testing.T
+	id                        string
+	callers, peers, operators string
+	settings                  string
+	command                   *exec.Cmd
+	exited                    chan struct{}
+	log                       lockedBuffer
+}
+
+// A lockedBuffer may be written to and read by several goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// serveFake serves a stand-in until the test ends.
+func serveFake(t *testing.T, handler http.Handler) string {
+	s := httptest.NewUnstartedServer(handler)
+	s.Config.ConnContext = fakes.ConnContext
+	s.Start()
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const clusterRules = `
+stage    encode   kind=encoder                 # test
+stage    retrieve kind=retriever               # test
+stage    generate kind=generator               # test
+pipeline drafts   stages=encode,retrieve,generate deadline=15s # test
+service  filing   repeat=never deadline=4s     # test
+service  fee      repeat=never deadline=4s fenced=yes lookup=yes # test
+service  status   repeat=safe deadline=4s      # test
+account  kingston weight=1 token=sha256:%x     # test
+`
+
+// newCluster starts nodes and publishes the rules.
+func newCluster(t *testing.T, nodes int) *cluster {
+	c := &cluster{t: t, upstreams: make(map[string]*fakes.Upstream), client: client.New(callerToken)}
+	c.platform = fakes.NewPlatform(fakes.PlatformConfig{AppendsPerSecond: 400})
+	c.url = "http://" + serveFake(t, c.platform.Handler())
+	for _, pool := range []string{"encode", "retrieve", "generate", "filing", "fee", "status"} {
+		c.addUpstream(pool, pool+"-0", fakes.UpstreamConfig{Slots: 16, Latency: 5 * time.Millisecond, TokenTime: 10 * time.Millisecond, Fenced: pool == "fee"})
+	}
+	for i := range nodes {
+		c.addNode(fmt.Sprint("entry-", i))
+	}
+	c.platform.SetHosts(c.hosts)
+	for _, n := range c.nodes {
+		n.start()
+	}
+	for _, n := range c.nodes {
+		n.waitReady()
+	}
+	c.publish(fmt.Sprintf(clusterRules, sha256.Sum256([]byte(callerToken))))
+	return c
+}
+
+func (c *cluster) addUpstream(pool, id string, config fakes.UpstreamConfig) {
+	u := fakes.NewUpstream(config)
+	c.upstreams[id] = u
+	c.hosts = append(c.hosts, wire.Host{ID: id, Incarnation: "1", Role: "upstream", Pool: pool, Zone: "zone-a", Addr: serveFake(c.t, u.Handler())})
+}
+
+func (c *cluster) addNode(id string) *process {
+	n := &process{t: c.t, id: id, callers: freeAddr(c.t), peers: freeAddr(c.t), operators: freeAddr(c.t)}
+	var seeds []string
+	for _, other := range c.nodes {
+		seeds = append(seeds, other.peers)
+	}
+	n.settings = filepath.Join(c.t.TempDir(), "node.ini")
+	text := fmt.Sprintf("[node]\nid = %s\nzone = zone-a\ndrain_lag = 500ms\n[listen]\ncallers = %s\npeers = %s\noperators = %s\n"+
+		"[secrets]\npeers = peer-credential-0123\noperators = %s\n[platform]\nurl = %s\ntimeout = 1s\n[ledger]\ntakeover_after = 2s\n[poll]\nrules = 200ms\nhosts = 200ms\nledger = 200ms\n",
+		id, n.callers, n.peers, n.operators, operatorToken, c.url)
+	if len(seeds) > 0 {
+		text += "[members]\nseeds = " + strings.Join(seeds, ",") + "\n"
+	}
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes = append(c.nodes, n)
+	c.hosts = append(c.hosts, wire.Host{ID: id, Incarnation: "1", Role: "entry", Zone: "zone-a", Addr: n.peers})
+	return n
+}
+
+func (p *process) start() {
+	p.command = exec.Command(binary, "serve", p.settings)
+	p.command.Stderr = &p.log
+	if err := p.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.exited = make(chan struct{})
+	go func() {
+		_ = p.command.Wait() // The exit status is read from ProcessState.
+		close(p.exited)
+	}()
+	p.t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		if p.t.Failed() {
+			p.t.Logf("log of %s:\n%s", p.id, p.log.String())
+		}
+	})
+}
+
+func (p *process) signal(s os.Signal) {
+	// A process that has exited cannot be signalled, and need not be.
+	_ = p.command.Process.Signal(s)
+}
+
+// eventually waits until f returns true.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, patience)
+}
+
+func (p *process) waitReady() {
+	p.t.Helper()
+	eventually(p.t, p.id+" being ready", func() bool {
+		r, err := http.Get("http://" + p.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+}
+
+// operate asks the node's listener for operators.
+func (p *process) operate(method, path string, body []byte, to any) error {
+	r, err := http.NewRequest(method, "http://"+p.operators+path, strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("node answered %s", answer.Status)
+	}
+	return json.NewDecoder(answer.Body).Decode(to)
+}
+
+func (p *process) rulesVersion() int64 {
+	var status struct {
+		Version int64 `json:"rules_version"`
+	}
+	if err := p.operate(http.MethodGet, "/v1/status", nil, &status); err != nil {
+		return -1
+	}
+	return status.Version
+}
+
+// publish publishes a whole file over an empty book and waits for all nodes.
+func (c *cluster) publish(text string) {
+	c.t.Helper()
+	lines, err := rules.Parse("rules", text)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	v := c.nodes[0].change(&rules.Change{ID: uuid.NewString(), Who: "test", Edits: rules.Diff(nil, lines)})
+	if !v.Accepted {
+		c.t.Fatalf("rules are refused: %+v", v)
+	}
+	for _, n := range c.nodes {
+		eventually(c.t, "rules on "+n.id, func() bool { return n.rulesVersion() >= v.Version })
+	}
+}
+
+func (p *process) change(change *rules.Change) rules.Verdict {
+	p.t.Helper()
+	body, err := json.Marshal(change)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var v rules.Verdict
+	if err := p.operate(http.MethodPost, "/v1/rules", body, &v); err != nil {
+		p.t.Fatalf("publish at %s: %v", p.id, err)
+	}
+	return v
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// file calls a service with a key.
+func (c *cluster) file(node int, service, key string) (wire.Answer, error) {
+	return c.client.Send(context.Background(), c.nodes[node].callers, client.Request{Service: service, Input: "input-" + key, Key: key})
+}
+
+func (c *cluster) mustFile(node int, service, key string, want wire.Outcome) wire.Answer {
+	c.t.Helper()
+	a, err := c.file(node, service, key)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if a.Outcome != want {
+		c.t.Fatalf("outcome is %q (%s), want %q", a.Outcome, a.Error, want)
+	}
+	if want == wire.Done && a.Output != "receipt(input-"+key+")" {
+		c.t.Fatalf("output is %q", a.Output)
+	}
+	return a
+}
+
+// checkOnce fails the test when a key ran more than once, or not as often as
+// wanted where want is not negative.
+func (c *cluster) checkOnce(upstream, key string, want int) {
+	c.t.Helper()
+	got := c.upstreams[upstream].Counts()[key]
+	if got > 1 || want >= 0 && got != want {
+		c.t.Errorf("key %s ran %d times at %s, want %d", key, got, upstream, want)
+	}
+}
+
+const streamTokens = 40
+
+// stream makes a pipeline call and checks its answer.
+func (c *cluster) stream(node int, input string) error {
+	a, err := c.client.Send(context.Background(), c.nodes[node].callers, client.Request{
+		Pipeline: "drafts", Input: input, Tokens: streamTokens, Stream: true,
+	})
+	if err != nil {
+		return err
+	}
+	want := fakes.Generated(fakes.Output("retriever", fakes.Output("encoder", input)), streamTokens)
+	if a.Outcome != wire.Done || a.Output != want {
+		return fmt.Errorf("outcome %q (%s) with output %q, want %q", a.Outcome, a.Error, a.Output, want)
+	}
+	return nil
+}
--- a/core/core.go
+++ b/core/core.go
@@ -8,8 +8,10 @@
 import (
 	"time"
 
+	"teaselplank/lease"
 	"teaselplank/ledger"
 	"teaselplank/member"
+	"teaselplank/order"
 	"teaselplank/pipe"
 	"teaselplank/queue"
 	"teaselplank/route"
@@ -45,6 +47,8 @@
 	Hosts time.Duration
 	Rules time.Duration
 	Loads time.Duration
+	// Leases is the period of a node whose zone has engines with models.
+	Leases time.Duration
 	// Ledger is the period while no attempt waits, LedgerBusy otherwise.
 	Ledger     time.Duration
 	LedgerBusy time.Duration
@@ -63,6 +67,7 @@
 			Hosts:      time.Second,
 			Rules:      time.Second,
 			Loads:      200 * time.Millisecond,
+			Leases:     2 * time.Second,
 			Ledger:     time.Second,
 			LedgerBusy: 50 * time.Millisecond,
 		},
@@ -106,10 +111,16 @@
 	}
 	// ForwardFailed reports that the node did not answer.
 	ForwardFailed struct{ ID string }
-	// RulesRead brings a page of the rules stream.
-	RulesRead struct{ Page wire.Page }
-	// RulesFailed reports that the page could not be read.
-	RulesFailed struct{}
+	// StreamRead brings a page of the rules or the lease stream.
+	StreamRead struct {
+		Stream string
+		Page   wire.Page
+	}
+	// ModelSeen brings what an engine has loaded.
+	ModelSeen struct {
+		Host   wire.Host
+		Loaded wire.Loaded
+	}
 	// StateFetched brings what a peer knows.
 	StateFetched struct {
 		Rules *rules.Checkpoint
@@ -146,10 +157,24 @@
 		Call     Call
 		Deadline time.Time
 	}
-	// ReadRules asks for the rules stream from an offset.
-	ReadRules struct{ From int64 }
-	// AppendRules asks to append a checkpoint to the rules stream.
-	AppendRules struct{ Data []byte }
+	// ReadStream asks for a stream from an offset. StreamRead brings a page;
+	// nothing is brought when it cannot be read.
+	ReadStream struct {
+		Stream string
+		From   int64
+	}
+	// AppendStream asks to append a record once, whatever comes of it.
+	AppendStream struct {
+		Stream string
+		Data   []byte
+	}
+	// AskModel asks an engine what it has loaded.
+	AskModel struct{ Host wire.Host }
+	// GiveOrder gives an engine an order, once.
+	GiveOrder struct {
+		Host  wire.Host
+		Order wire.Order
+	}
 	// FetchState asks a peer for what it knows.
 	FetchState struct{ Addr string }
 	// ListHosts asks for the platform's host list.
@@ -172,6 +197,9 @@
 	config Config
 	book   rules.Book
 	ledger *ledger.Ledger
+	leases lease.Book
+	holder *lease.Holder
+	orders order.Planner
 	group  *member.Group
 	table  *route.Table
 	runner *pipe.Runner
@@ -189,7 +217,7 @@
 	effects []Effect
 	counts  Counts
 	started bool
-	// upstreams is the hash of the upstreams that the table was last given.
+	// checkpointAt is when this node last appended a checkpoint of the rules.
 	checkpointAt time.Time
 }
 
@@ -212,6 +240,7 @@
 	return &Node{
 		config: config,
 		ledger: ledger.New(config.Ledger),
+		holder: lease.NewHolder(config.Member.Self.Zone, config.Member.Self.ID+"/"+config.Member.Self.Incarnation),
 		group:  member.New(config.Member, config.Seed),
 		table:  table,
 		runner: pipe.New(config.Pipe, table),
@@ -252,8 +281,10 @@
 		n.forwarded(e)
 	case ForwardFailed:
 		n.forwardFailed(now, e.ID)
-	case RulesRead:
-		n.rulesRead(now, e.Page)
+	case StreamRead:
+		n.streamRead(now, e)
+	case ModelSeen:
+		n.orders.Loaded(now, e.Host, e.Loaded)
 	case StateFetched:
 		n.stateFetched(now, e)
 	case Load:
--- a/core/jobs.go
+++ b/core/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"teaselplank/lease"
 	"teaselplank/ledger"
 	"teaselplank/member"
 	"teaselplank/pipe"
@@ -20,6 +21,7 @@
 	jobLedger
 	jobTell
 	jobCheckpoint
+	jobOrders
 )
 
 // tellEvery is how often a node works out what it tells the others of itself,
@@ -31,7 +33,7 @@
 
 func (n *Node) schedule(now time.Time) {
 	n.set = n.book.Set()
-	for j := jobHosts; j <= jobCheckpoint; j++ {
+	for j := jobHosts; j <= jobOrders; j++ {
 		n.timers.Add(now, j)
 	}
 }
@@ -54,7 +56,7 @@
 		n.emit(ListHosts{})
 		return n.config.Poll.Hosts
 	case jobRules:
-		n.emit(ReadRules{From: n.book.Next()})
+		n.emit(ReadStream{rules.Stream, n.book.Next()})
 		return n.config.Poll.Rules
 	case jobLoads:
 		for _, w := range n.table.Used() {
@@ -63,6 +65,8 @@
 		return n.config.Poll.Loads
 	case jobLedger:
 		return n.pollLedger()
+	case jobOrders:
+		return n.giveOrders(now)
 	case jobTell:
 		n.tell(now)
 		return tellEvery
@@ -127,11 +131,20 @@
 	}
 }
 
+// streamRead folds a page of a stream.
+func (n *Node) streamRead(now time.Time, e StreamRead) {
+	if e.Stream == lease.Stream {
+		n.leases.Fold(e.Page)
+		return
+	}
+	n.rulesRead(now, e.Page)
+}
+
 // rulesRead folds a page of the rules stream.
 func (n *Node) rulesRead(now time.Time, page wire.Page) {
 	n.book.Fold(page)
 	if page.End > n.book.Next() && len(page.Records) > 0 {
-		n.emit(ReadRules{From: n.book.Next()})
+		n.emit(ReadStream{rules.Stream, n.book.Next()})
 	}
 	n.rulesChanged(now)
 }
@@ -196,5 +209,5 @@
 		return
 	}
 	n.checkpointAt = now
-	n.emit(AppendRules{Data: data})
+	n.emit(AppendStream{rules.Stream, data})
 }
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -27,7 +27,7 @@
 		http.Error(w, "fencing number is too low", http.StatusPreconditionFailed)
 		return
 	}
-	pause(r.Context(), u.config.Latency)
+	pause(r.Context(), u.latency())
 	u.data.Lock()
 	e := u.runs[key]
 	e.finished = true
@@ -103,6 +103,11 @@
 		return
 	}
 	u.number = max(u.number, o.Number)
-	u.model[o.Action+"/"+o.Model] = o
-	u.orders++
+	u.loaded = wire.Loaded{Model: o.Model, Version: o.Version, Adapter: o.Adapter}
+}
+
+func (u *Upstream) serveModel(w http.ResponseWriter, _ *http.Request) {
+	u.data.Lock()
+	defer u.data.Unlock()
+	writeJSON(w, u.loaded)
 }
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -52,10 +52,9 @@
 	// prefixes are the cached prefixes, oldest first; events tells of them.
 	prefixes []string
 	events   []CacheEvent
-	// number is the greatest fencing number of an order, model what it set.
+	// number is the greatest fencing number of an order, loaded what it set.
 	number int64
-	model  map[string]wire.Order
-	orders int
+	loaded wire.Loaded
 }
 
 // A CacheEvent tells that a prefix was cached or dropped.
@@ -83,7 +82,6 @@
 		slots:   make(chan struct{}, config.Slots),
 		cancels: make(map[string]context.CancelFunc),
 		runs:    make(map[string]*execution),
-		model:   make(map[string]wire.Order),
 	}
 }
 
@@ -98,6 +96,7 @@
 	mux.HandleFunc("GET /status", u.serveStatus)
 	mux.HandleFunc("GET /counts", u.serveCounts)
 	mux.HandleFunc("POST /order", u.serveOrder)
+	mux.HandleFunc("GET /model", u.serveModel)
 	mux.HandleFunc("GET /events", u.serveEvents)
 	mux.HandleFunc("GET /kv/{prefix}", u.serveExport)
 	mux.HandleFunc("PUT /kv/{prefix}", u.serveImport)
@@ -183,7 +182,7 @@
 	if !got {
 		return
 	}
-	pause(ctx, u.config.Latency)
+	pause(ctx, u.latency())
 	if ctx.Err() != nil {
 		return
 	}
@@ -208,7 +207,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	latency := u.config.Latency
+	latency := u.latency()
 	if u.touch(call.Prefix) {
 		latency /= 4
 	}
@@ -335,3 +334,16 @@
 func (u *Upstream) serveImport(_ http.ResponseWriter, r *http.Request) {
 	u.touch(r.PathValue("prefix"))
 }
+
+// SetLatency changes how long a call runs.
+func (u *Upstream) SetLatency(d time.Duration) {
+	u.data.Lock()
+	defer u.data.Unlock()
+	u.config.Latency = d
+}
+
+func (u *Upstream) latency() time.Duration {
+	u.data.Lock()
+	defer u.data.Unlock()
+	return u.config.Latency
+}
--- a/server/operate.go
+++ b/server/operate.go
@@ -109,7 +109,7 @@
 			_, err = s.log.Append(ctx, rules.Stream, record)
 			sent = err == nil
 		}
-		s.readRules(core.ReadRules{From: s.nextRules()})
+		s.readStream(core.ReadStream{Stream: rules.Stream, From: s.nextRules()})
 		if v, ok := s.verdict(change.ID); ok {
 			return v, nil
 		}
--- a/server/perform.go
+++ b/server/perform.go
@@ -8,7 +8,6 @@
 	"teaselplank/ledger"
 	"teaselplank/member"
 	"teaselplank/pipe"
-	"teaselplank/rules"
 	"teaselplank/wire"
 )
 
@@ -31,10 +30,14 @@
 		go s.gossip(e)
 	case core.Forward:
 		go s.forward(e)
-	case core.ReadRules:
-		go s.readRules(e)
-	case core.AppendRules:
-		go s.appendRules(e)
+	case core.ReadStream:
+		go s.readStream(e)
+	case core.AppendStream:
+		go s.appendStream(e)
+	case core.AskModel:
+		go s.askModel(e.Host)
+	case core.GiveOrder:
+		go s.giveOrder(e)
 	case core.FetchState:
 		go s.fetchState(e)
 	case core.ListHosts:
@@ -77,26 +80,50 @@
 	s.Post(ledger.Folded{Shard: e.Shard, Page: page})
 }
 
-func (s *Server) readRules(e core.ReadRules) {
+func (s *Server) readStream(e core.ReadStream) {
 	ctx, cancel := s.platformContext()
 	defer cancel()
-	page, err := s.log.Read(ctx, rules.Stream, e.From)
+	page, err := s.log.Read(ctx, e.Stream, e.From)
 	if err != nil {
 		s.metrics.platformFailure("read")
 		return
 	}
-	s.Post(core.RulesRead{Page: page})
+	s.Post(core.StreamRead{Stream: e.Stream, Page: page})
 }
 
-func (s *Server) appendRules(e core.AppendRules) {
+func (s *Server) appendStream(e core.AppendStream) {
 	ctx, cancel := s.platformContext()
 	defer cancel()
-	if _, err := s.log.Append(ctx, rules.Stream, e.Data); err != nil {
+	if _, err := s.log.Append(ctx, e.Stream, e.Data); err != nil {
 		s.metrics.platformFailure("append")
-		s.logger.Warn("checkpoint of the rules not confirmed", "error", err)
 	}
 }
 
+func (s *Server) askModel(h wire.Host) {
+	ctx, cancel := context.WithTimeout(s.context, loadTimeout)
+	defer cancel()
+	var loaded wire.Loaded
+	if err := s.upstreams.getJSON(ctx, h, "/model", nil, &loaded); err != nil {
+		s.metrics.upstreamFailure(h.Pool, "model")
+		return
+	}
+	s.Post(core.ModelSeen{Host: h, Loaded: loaded})
+}
+
+// orderTimeout bounds the wait for an engine to take an order; carrying it out
+// takes longer and is seen by asking.
+const orderTimeout = 5 * time.Second
+
+func (s *Server) giveOrder(e core.GiveOrder) {
+	ctx, cancel := context.WithTimeout(s.context, orderTimeout)
+	defer cancel()
+	if err := s.upstreams.order(ctx, e.Host, e.Order); err != nil {
+		s.metrics.upstreamFailure(e.Host.Pool, "order")
+		return
+	}
+	s.logger.Info("order given", "host", e.Host.ID, "model", e.Order.Model, "version", e.Order.Version, "number", e.Order.Number)
+}
+
 func (s *Server) listHosts() {
 	ctx, cancel := s.platformContext()
 	defer cancel()
--- a/server/upstream.go
+++ b/server/upstream.go
@@ -122,6 +122,27 @@
 	return status, err
 }
 
+// order sends an order to an engine.
+func (u *upstreams) order(ctx context.Context, h wire.Host, o wire.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order to %q: %w", h.ID, err)
+	}
+	r, err := post(ctx, h, "/order", body)
+	if err != nil {
+		return err
+	}
+	answer, err := u.once.Do(r)
+	if err != nil {
+		return fmt.Errorf("order to %q: %w", h.ID, err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("order to %q under number %d: engine answered %s", h.ID, o.Number, answer.Status)
+	}
+	return nil
+}
+
 // startCall performs an attempt in a goroutine of its own.
 func (s *Server) startCall(e pipe.Call) {
 	ctx, cancel := context.WithDeadline(s.context, e.Deadline)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -179,3 +179,10 @@
 	Adapter string `json:"adapter,omitempty"`
 	Role    string `json:"role,omitempty"`
 }
+
+// Loaded is what a model engine has loaded.
+type Loaded struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter,omitempty"`
+}
