--- a/core/call.go
+++ b/core/call.go
@@ -65,7 +65,7 @@
 		n.reply(c.ID, unsent(c.ID, wire.NotRun, reason, 0), http.StatusBadRequest, false)
 		return
 	}
-	if c.Key == "" {
+	if c.Key == "" || entry.service != nil && !entry.service.Once {
 		n.run(now, entry, 0)
 		return
 	}
--- a/fakes/faults.go
+++ b/fakes/faults.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -103,6 +104,8 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		f := s.get()
 		if s.silent(r) {
+			// The end of the connection is noticed once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -33,7 +33,7 @@
 		return ReasonDeadline, 0
 	}
 	for _, s := range q.Steps {
-		if p, ok := r.table.Pool(s.Pool); !ok || len(p.Workers()) == 0 {
+		if !r.table.Serves(s.Pool) {
 			return ReasonNoWorker, noWorkerPause
 		}
 	}
@@ -149,6 +149,10 @@
 
 // pump starts the steps that wait for a pool as long as it has room.
 func (r *Runner) pump(now time.Time, p *pool) {
+	if !r.table.Serves(p.name) {
+		r.endWaiting(now, p)
+		return
+	}
 	for p.waiting() > 0 && r.table.HasRoom(now, p.name) {
 		id, ok := p.pop()
 		run := r.requests[id]
@@ -163,6 +167,21 @@
 	}
 }
 
+// endWaiting answers the requests that wait for a pool whose last worker has
+// left: nothing is gained by letting them wait.
+func (r *Runner) endWaiting(now time.Time, p *pool) {
+	for p.waiting() > 0 {
+		id, _ := p.pop()
+		run := r.requests[id]
+		if run == nil || !run.waiting || run.step().Pool != p.name {
+			continue
+		}
+		answer := run.failure(ReasonNoWorker)
+		answer.RetryAfter = noWorkerPause
+		r.end(now, run, answer)
+	}
+}
+
 func (p *pool) waiting() int { return p.fair.Len() + len(p.urgent) }
 
 func (p *pool) pop() (string, bool) {
--- a/route/route.go
+++ b/route/route.go
@@ -291,6 +291,12 @@
 	return w
 }
 
+// Serves reports whether the pool has workers that are not leaving.
+func (t *Table) Serves(pool string) bool {
+	p := t.pools[pool]
+	return p != nil && len(p.subset) > 0
+}
+
 // HasRoom reports whether some worker of the pool can take a call.
 func (t *Table) HasRoom(now time.Time, pool string) bool {
 	p := t.pools[pool]
