--- a/core/core.go
+++ b/core/core.go
@@ -249,9 +249,10 @@
 	}
 }
 
-// Step applies an event and returns its effects.
+// Step applies an event and returns its effects. The slice is valid until the
+// next call.
 func (n *Node) Step(now time.Time, event Event) []Effect {
-	n.effects = nil
+	n.effects = n.effects[:0]
 	n.counts.Events++
 	if !n.started {
 		n.started = true
--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -269,7 +269,9 @@
 // A running is a request under way.
 type running struct {
 	request Request
-	status  status
+	// pools has the pool of each step.
+	pools  []*pool
+	status status
 	// stage is the index of the step under way.
 	stage int
 	// input is the output of the step before.
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -12,22 +12,22 @@
 // submit takes a request, or refuses it before it costs anything.
 func (r *Runner) submit(now time.Time, q Request) {
 	r.counts.Submitted++
-	for _, s := range q.Steps {
-		r.pool(s.Pool).shares.arrive(now, q.Account)
+	run := &running{request: q, pools: r.poolsOf(q), status: queued, input: q.Input, arrived: now}
+	for _, p := range run.pools {
+		p.shares.arrive(now, q.Account)
 	}
-	if reason, wait := r.refusal(now, q); reason != "" {
+	if reason, wait := r.refusal(now, run); reason != "" {
 		r.refuse(q, reason, wait)
 		return
 	}
-	run := &running{request: q, status: queued, input: q.Input, arrived: now}
 	r.requests[q.ID] = run
 	r.timers.Add(q.Deadline, timer{kind: timerDeadline, ref: Ref{Request: q.ID}})
 	r.enter(now, run)
 }
 
 // refusal returns why a request is not taken, and when to come back.
-func (r *Runner) refusal(now time.Time, q Request) (Reason, time.Duration) {
-	first := r.pool(q.Steps[0].Pool)
+func (r *Runner) refusal(now time.Time, run *running) (Reason, time.Duration) {
+	q, first := run.request, run.pools[0]
 	wait := first.expectedWait(now)
 	if !now.Before(q.Deadline) {
 		return ReasonDeadline, 0
@@ -40,19 +40,19 @@
 	if first.fair.Len() >= r.config.MaxQueue {
 		return ReasonFull, wait
 	}
-	if r.config.Admission && !r.admitted(now, q) {
+	if r.config.Admission && !r.admitted(now, run) {
 		return ReasonShare, sharePause
 	}
-	if r.config.Early && now.Add(r.remaining(now, q, 0, 0)).After(q.Deadline) {
+	if r.config.Early && now.Add(run.remaining(now)).After(q.Deadline) {
 		return ReasonTooLate, wait
 	}
 	return "", 0
 }
 
 // admitted reports whether the request's account may use all of its pools now.
-func (r *Runner) admitted(now time.Time, q Request) bool {
-	for _, s := range q.Steps {
-		if !r.pool(s.Pool).shares.admit(now, q.Account, r.weights) {
+func (r *Runner) admitted(now time.Time, run *running) bool {
+	for _, p := range run.pools {
+		if !p.shares.admit(now, run.request.Account, r.weights) {
 			return false
 		}
 	}
@@ -81,27 +81,37 @@
 	r.emit(Answer{Request: q.ID, Outcome: wire.NotRun, Reason: reason, RetryAfter: pause})
 }
 
-// remaining estimates how long a request still takes from a stage on when tokens
-// have been generated in it: what is usual of each stage, and the waiting.
-func (r *Runner) remaining(now time.Time, q Request, stage, tokens int) time.Duration {
-	total := r.usual(q, stage, tokens)
-	for _, s := range q.Steps[stage:] {
-		total += r.pool(s.Pool).expectedWait(now)
+// poolsOf returns the pool of each step.
+func (r *Runner) poolsOf(q Request) []*pool {
+	pools := make([]*pool, len(q.Steps))
+	for i, s := range q.Steps {
+		pools[i] = r.pool(s.Pool)
+	}
+	return pools
+}
+
+// remaining estimates how long a request still takes from its stage on: what is
+// usual of each stage, and the waiting.
+func (run *running) remaining(now time.Time) time.Duration {
+	total := run.usual()
+	for _, p := range run.pools[run.stage:] {
+		total += p.expectedWait(now)
 	}
 	return total
 }
 
-// usual is how long a request usually takes from a stage on without waiting.
-func (r *Runner) usual(q Request, stage, tokens int) time.Duration {
+// usual is how long a request usually takes from its stage on without waiting.
+func (run *running) usual() time.Duration {
 	var total time.Duration
-	for _, s := range q.Steps[stage:] {
-		p := r.pool(s.Pool)
+	tokens := run.tokens
+	for i := run.stage; i < len(run.pools); i++ {
+		p := run.pools[i]
 		if !p.latency.known {
 			continue
 		}
 		usual := p.latency.p50
-		if s.Stream {
-			usual *= time.Duration(max(q.Tokens-tokens, 0))
+		if run.request.Steps[i].Stream {
+			usual *= time.Duration(max(run.request.Tokens-tokens, 0))
 			tokens = 0
 		}
 		total += usual
@@ -124,7 +134,7 @@
 
 // enter lets a request wait for its step's pool.
 func (r *Runner) enter(now time.Time, run *running) {
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	run.waiting, run.entered = true, now
 	account, weight := run.request.Account, run.request.Weight
 	if !r.config.Fair {
@@ -136,12 +146,14 @@
 
 // enterAgain lets a request whose attempt failed go first.
 func (r *Runner) enterAgain(now time.Time, run *running) {
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	run.waiting, run.entered = true, now
 	p.urgent = append(p.urgent, run.request.ID)
 	r.pump(now, p)
 }
 
+func (run *running) pool() *pool { return run.pools[run.stage] }
+
 func (run *running) step() Step { return run.request.Steps[run.stage] }
 
 // queueTick is how often a queue is looked at when nothing else happens.
@@ -156,7 +168,7 @@
 	for p.waiting() > 0 && r.table.HasRoom(now, p.name) {
 		id, ok := p.pop()
 		run := r.requests[id]
-		if !ok || run == nil || !run.waiting || run.step().Pool != p.name {
+		if !ok || run == nil || !run.waiting || run.pool() != p {
 			continue
 		}
 		r.start(now, p, run)
@@ -173,7 +185,7 @@
 	for p.waiting() > 0 {
 		id, _ := p.pop()
 		run := r.requests[id]
-		if run == nil || !run.waiting || run.step().Pool != p.name {
+		if run == nil || !run.waiting || run.pool() != p {
 			continue
 		}
 		answer := run.failure(ReasonNoWorker)
@@ -230,7 +242,7 @@
 	if !r.config.Early || run.step().Once {
 		return false
 	}
-	need := r.usual(run.request, run.stage, run.tokens)
+	need := run.usual()
 	return now.Add(need).After(run.request.Deadline)
 }
 
@@ -315,7 +327,7 @@
 	a.moved = now
 	if !a.started {
 		a.started = true
-		r.pool(run.step().Pool).first.record(now, now.Sub(a.began))
+		run.pool().first.record(now, now.Sub(a.began))
 	}
 	run.tokens = e.Tokens
 }
@@ -332,7 +344,7 @@
 		r.counts.Late++
 		return
 	}
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	taken := now.Sub(a.began)
 	if run.step().Stream {
 		run.tokens = e.Tokens
@@ -376,7 +388,7 @@
 	run.stage++
 	run.tries, run.avoid, run.tokens = 0, nil, 0
 	left := run.request.Deadline.Sub(now)
-	need := r.remaining(now, run.request, run.stage, 0)
+	need := run.remaining(now)
 	if r.config.Early && float64(left) < lateFactor*float64(need) {
 		r.end(now, run, Answer{Outcome: wire.Unknown, Reason: ReasonTooLate, RetryAfter: minPause})
 		return
@@ -409,7 +421,7 @@
 	}
 	r.table.Finish(now, a.worker.ID, endOf[e.Failure])
 	run.tokens = max(run.tokens, e.Tokens)
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	run.addWork(p.name, e.Work)
 	if e.Failure != Busy {
 		run.avoid = append(run.avoid, a.worker.ID)
@@ -516,8 +528,8 @@
 	switch answer.Outcome {
 	case wire.Done:
 		r.counts.Done++
-		for _, s := range run.request.Steps {
-			r.pool(s.Pool).shares.serve(now)
+		for _, p := range run.pools {
+			p.shares.serve(now)
 		}
 	case wire.NotRun:
 		r.counts.NotRun++
@@ -578,7 +590,7 @@
 	if a == nil {
 		return
 	}
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	due := a.moved.Add(r.patience(p, run.step(), a.started))
 	if now.Before(due) {
 		r.timers.Add(due, timer{kind: timerAttempt, ref: ref})
@@ -595,7 +607,7 @@
 	if run.attempt(ref) == nil || len(run.attempts) > 1 || run.tries >= r.config.MaxAttempts {
 		return
 	}
-	p := r.pool(run.step().Pool)
+	p := run.pool()
 	if p.waiting() > 0 || now.Add(p.latency.p50).After(run.request.Deadline) {
 		return
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,44 +10,59 @@
 // zero value is empty and ready to use. Values that are due at the same time
 // leave in the order in which they entered.
 type Timers[T any] struct {
-	items timerHeap[T]
+	items timerHeap
+	// values holds the values of the items by their slot; free are the slots
+	// that are not in use. Items stay small, for the heap moves them around.
+	values []T
+	free   []int32
 	// count numbers the entries, so that ties keep their order.
 	count uint64
 }
 
-type timer[T any] struct {
+type timer struct {
 	due   time.Time
 	order uint64
-	value T
+	slot  int32
 }
 
-type timerHeap[T any] []timer[T]
+type timerHeap []timer
 
-func (h timerHeap[T]) Len() int { return len(h) }
+func (h timerHeap) Len() int { return len(h) }
 
-func (h timerHeap[T]) Less(i, j int) bool {
-	if h[i].due.Equal(h[j].due) {
-		return h[i].order < h[j].order
+func (h timerHeap) Less(i, j int) bool {
+	if order := h[i].due.Compare(h[j].due); order != 0 {
+		return order < 0
 	}
-	return h[i].due.Before(h[j].due)
+	return h[i].order < h[j].order
 }
 
-func (h timerHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-func (h *timerHeap[T]) Push(x any) { *h = append(*h, x.(timer[T])) }
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
 
-func (h *timerHeap[T]) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = timer[T]{}
-	*h = old[:len(old)-1]
-	return last
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	*h = (*h)[:last]
+	return item
 }
 
 // Add enters value, to be due at the given time.
 func (t *Timers[T]) Add(due time.Time, value T) {
 	t.count++
-	heap.Push(&t.items, timer[T]{due: due, order: t.count, value: value})
+	heap.Push(&t.items, timer{due: due, order: t.count, slot: t.keep(value)})
+}
+
+// keep stores a value and returns its slot.
+func (t *Timers[T]) keep(value T) int32 {
+	if last := len(t.free) - 1; last >= 0 {
+		slot := t.free[last]
+		t.free = t.free[:last]
+		t.values[slot] = value
+		return slot
+	}
+	t.values = append(t.values, value)
+	return int32(len(t.values) - 1)
 }
 
 // Len returns the number of values in the queue.
@@ -66,7 +81,12 @@
 	if len(t.items) == 0 || t.items[0].due.After(now) {
 		return value, false
 	}
-	return heap.Pop(&t.items).(timer[T]).value, true
+	slot := heap.Pop(&t.items).(timer).slot
+	value = t.values[slot]
+	var zero T
+	t.values[slot] = zero
+	t.free = append(t.free, slot)
+	return value, true
 }
 
 // Recent is a map that keeps only the entries put last, Limit at most. The
--- a/route/route.go
+++ b/route/route.go
@@ -147,7 +147,10 @@
 func (t *Table) view(now time.Time, p *Pool) *View {
 	v := &View{Config: t.config, Now: now, Random: t.random}
 	for _, w := range p.subset {
-		v.Fresh = v.Fresh || !w.reported.IsZero() && !w.stale(v)
+		if !w.reported.IsZero() && !w.stale(v) {
+			v.Fresh = true
+			break
+		}
 	}
 	return v
 }
