Bound the questions for loads

Change: at most 100 questions a second, to the workers heard of least lately; answers to calls count as reports. A worker counts as out of reach after three missed reports. Ruled out: a longer period for all, which makes small sites slower to see a fault.

--- a/cmd/standin/drive.go
+++ b/cmd/standin/drive.go
@@ -46,6 +46,7 @@
 	Method string `arg:"" help:"Method."`
 	URL    string `arg:"" help:"URL."`
 	File   string `arg:"" optional:"" type:"existingfile" help:"File with the body."`
+	Token  string `help:"Credential to send."`
 }
 
 // Run implements the subcommand.
@@ -63,6 +64,9 @@
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	client := http.Client{Timeout: 5 * time.Second}
 	answer, err := client.Do(r)
 	if err != nil {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -38,15 +40,28 @@
 	Latency time.Duration `default:"10ms" help:"How long a call runs."`
 	Token   time.Duration `default:"5ms" help:"Time between two tokens."`
 	Fenced  bool          `help:"Refuse old fencing numbers."`
+	Count   int           `default:"1" help:"Run this many, at consecutive ports."`
 }
 
 // Run implements the subcommand.
 func (c *upstream) Run() error {
-	u := fakes.NewUpstream(fakes.UpstreamConfig{
-		Slots: c.Slots, Latency: c.Latency, TokenTime: c.Token, Fenced: c.Fenced,
-		LoadLag: 200 * time.Millisecond, Prefixes: 16,
-	})
-	return listen(c.Listen, u.Handler())
+	host, port, err := net.SplitHostPort(c.Listen)
+	if err != nil {
+		return fmt.Errorf("address %q: %w", c.Listen, err)
+	}
+	first, err := strconv.Atoi(port)
+	if err != nil {
+		return fmt.Errorf("port %q: %w", port, err)
+	}
+	ended := make(chan error, c.Count)
+	for i := range c.Count {
+		u := fakes.NewUpstream(fakes.UpstreamConfig{
+			Slots: c.Slots, Latency: c.Latency, TokenTime: c.Token, Fenced: c.Fenced,
+			LoadLag: 200 * time.Millisecond, Prefixes: 16,
+		})
+		go func() { ended <- listen(net.JoinHostPort(host, strconv.Itoa(first+i)), u.Handler()) }()
+	}
+	return <-ended
 }
 
 // listen serves until the process is asked to stop.
--- a/conf/schema.go
+++ b/conf/schema.go
@@ -61,6 +61,7 @@
 		{"poll", "hosts", false, duration(&c.Poll.Hosts, 10*time.Millisecond, time.Minute)},
 		{"poll", "rules", false, duration(&c.Poll.Rules, 10*time.Millisecond, time.Minute)},
 		{"poll", "loads", false, duration(&c.Poll.Loads, 10*time.Millisecond, time.Minute)},
+		{"poll", "loads_per_second", false, number(&c.Poll.LoadsPerSecond, 1, 100000)},
 		{"poll", "leases", false, duration(&c.Poll.Leases, 10*time.Millisecond, time.Minute)},
 		{"poll", "ledger", false, duration(&c.Poll.Ledger, 10*time.Millisecond, time.Minute)},
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -47,6 +47,9 @@
 	Hosts time.Duration
 	Rules time.Duration
 	Loads time.Duration
+	// LoadsPerSecond bounds the questions for loads. Workers that report
+	// with their answers are not asked.
+	LoadsPerSecond int
 	// Leases is the period of a node whose zone has engines with models.
 	Leases time.Duration
 	// Ledger is the period while no attempt waits, LedgerBusy otherwise.
@@ -64,12 +67,13 @@
 		Pipe:        pipe.DefaultConfig(),
 		FollowRules: true,
 		Poll: Poll{
-			Hosts:      time.Second,
-			Rules:      time.Second,
-			Loads:      200 * time.Millisecond,
-			Leases:     2 * time.Second,
-			Ledger:     time.Second,
-			LedgerBusy: 50 * time.Millisecond,
+			Hosts:          time.Second,
+			Rules:          time.Second,
+			Loads:          200 * time.Millisecond,
+			LoadsPerSecond: 100,
+			Leases:         2 * time.Second,
+			Ledger:         time.Second,
+			LedgerBusy:     50 * time.Millisecond,
 		},
 		OwnersFrom:       16,
 		AppendsPerSecond: 200,
--- a/core/jobs.go
+++ b/core/jobs.go
@@ -59,10 +59,7 @@
 		n.emit(ReadStream{rules.Stream, n.book.Next()})
 		return n.config.Poll.Rules
 	case jobLoads:
-		for _, w := range n.table.Used() {
-			n.emit(AskLoad{Host: w.Host()})
-		}
-		return n.config.Poll.Loads
+		return n.askLoads(now)
 	case jobLedger:
 		return n.pollLedger()
 	case jobOrders:
@@ -75,6 +72,19 @@
 	return checkpointEvery
 }
 
+// askLoads asks some of the workers that this node uses for their load. It
+// returns when the next are due.
+func (n *Node) askLoads(now time.Time) time.Duration {
+	rate := max(n.config.Poll.LoadsPerSecond, 1)
+	period := n.config.Poll.Loads / 2
+	count := max(int(float64(rate)*period.Seconds()), 1)
+	for _, w := range n.table.Ask(now, n.config.Poll.Loads, count) {
+		n.emit(AskLoad{Host: w.Host()})
+	}
+	n.table.SetPace(time.Duration(n.table.UsedCount()) * time.Second / time.Duration(rate))
+	return period
+}
+
 // pollLedger reads the shards that this node follows.
 func (n *Node) pollLedger() time.Duration {
 	live := n.group.Live()
--- a/route/route.go
+++ b/route/route.go
@@ -67,8 +67,10 @@
 	limit float64
 	// load is the last report, taken at reported with flightThen calls of
 	// this node under way.
-	load       wire.Load
-	reported   time.Time
+	load     wire.Load
+	reported time.Time
+	// asked is when the worker was last asked for its load.
+	asked      time.Time
 	flightThen int
 	// failures counts failed connections since the last answer.
 	failures     int
@@ -95,6 +97,14 @@
 // Limit returns the number of calls that this node lets be under way.
 func (w *Worker) Limit() float64 { return w.limit }
 
+// heard returns when the worker last reported its load or was asked for it.
+func (w *Worker) heard() time.Time {
+	if w.asked.After(w.reported) {
+		return w.asked
+	}
+	return w.reported
+}
+
 // Leaving reports whether the worker must get no new work.
 func (w *Worker) Leaving() bool { return w.leaving }
 
@@ -146,6 +156,9 @@
 
 func (t *Table) view(now time.Time, p *Pool) *View {
 	v := &View{Config: t.config, Now: now, Random: t.random}
+	if v.Config.Heartbeat > 0 {
+		v.Config.Heartbeat = t.heartbeat()
+	}
 	for _, w := range p.subset {
 		if !w.reported.IsZero() && !w.stale(v) {
 			v.Fresh = true
@@ -162,6 +175,8 @@
 	random *rand.Rand
 	pools  map[string]*Pool
 	byID   map[string]*Worker
+	// pace is how often a worker is asked for its load at least.
+	pace time.Duration
 }
 
 // New returns an empty table.
@@ -270,9 +285,8 @@
 // Pools returns all pools by name.
 func (t *Table) Pools() map[string]*Pool { return t.pools }
 
-// Used returns the workers that this node sends calls to, so that it asks only
-// these for their load.
-func (t *Table) Used() []*Worker {
+// used returns the workers that this node sends calls to.
+func (t *Table) used() []*Worker {
 	var used []*Worker
 	for _, name := range slices.Sorted(maps.Keys(t.pools)) {
 		used = append(used, t.pools[name].subset...)
@@ -280,6 +294,45 @@
 	return used
 }
 
+// UsedCount returns the number of workers that this node sends calls to.
+func (t *Table) UsedCount() int {
+	count := 0
+	for _, p := range t.pools {
+		count += len(p.subset)
+	}
+	return count
+}
+
+// Ask returns the workers to ask for their load now: among those that this node
+// uses, the ones heard of least lately, count at most, and none that has been
+// asked or has reported within the period.
+func (t *Table) Ask(now time.Time, period time.Duration, count int) []*Worker {
+	var due []*Worker
+	for _, w := range t.used() {
+		if now.Sub(w.heard()) >= period {
+			due = append(due, w)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *Worker) int { return a.heard().Compare(b.heard()) })
+	due = due[:min(count, len(due))]
+	for _, w := range due {
+		w.asked = now
+	}
+	return due
+}
+
+// SetPace tells how often a worker is asked at least, so that one which is asked
+// rarely does not count as out of reach.
+func (t *Table) SetPace(pace time.Duration) { t.pace = pace }
+
+// missedReports is the number of reports that must be missing before a worker
+// counts as out of reach.
+const missedReports = 3
+
+func (t *Table) heartbeat() time.Duration {
+	return max(t.config.Heartbeat, missedReports*t.pace)
+}
+
 // Begin picks a worker and counts a call to it. It returns nil when no worker
 // of the pool has room.
 func (t *Table) Begin(now time.Time, pool string, q Query) *Worker {
--- /dev/null
+++ b/server/bench_test.go
@@ -0,0 +1,137 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/protobuf/proto"
+
+	"teaselplank/client"
+	"teaselplank/conf"
+	"teaselplank/fakes"
+	"teaselplank/member"
+	"teaselplank/rules"
+	"teaselplank/wire"
+)
+
+const testToken = "test-credential"
+
+// newTestServer returns a ready node in this process before one upstream of the
+// service status, the address of its listener for callers and the upstream's.
+func newTestServer(tb testing.TB, latency time.Duration) (callers, upstream string) {
+	tb.Helper()
+	u := httptest.NewServer(fakes.NewUpstream(fakes.UpstreamConfig{Slots: 64, Latency: latency}).Handler())
+	tb.Cleanup(u.Close)
+	p := fakes.NewPlatform(fakes.PlatformConfig{})
+	upstream = u.Listener.Addr().String()
+	p.SetHosts([]wire.Host{{ID: "status-0", Incarnation: "1", Role: "upstream", Pool: "status", Zone: "a", Addr: upstream}})
+	text := fmt.Sprintf("service status repeat=safe deadline=5s # test\naccount a weight=1 token=sha256:%x # test\n", sha256.Sum256([]byte(testToken)))
+	lines, err := rules.Parse("rules", text)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	data, err := rules.EncodeChange(&rules.Change{ID: "x", Edits: rules.Diff(nil, lines)})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if _, err := p.Append(context.Background(), rules.Stream, data); err != nil {
+		tb.Fatal(err)
+	}
+	settings := "[node]\nid = n\nzone = a\n[listen]\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:1\noperators = 127.0.0.1:1\n" +
+		"[secrets]\npeers = 0123456789abcdef\noperators = 0123456789abcdef\n[platform]\nurl = http://127.0.0.1:1\n[poll]\nrules = 50ms\nhosts = 50ms\n"
+	s, err := conf.Parse("test.ini", []byte(settings))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	node, err := New(Options{Settings: s, Log: p, Hosts: p, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(node.Close)
+	front := httptest.NewServer(node.callerHandler())
+	tb.Cleanup(front.Close)
+	callers = front.Listener.Addr().String()
+	for {
+		a, err := client.New(testToken).Send(context.Background(), callers, client.Request{Service: "status", Input: "x"})
+		if err == nil && a.Outcome == wire.Done {
+			return callers, upstream
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// BenchmarkOverhead measures what a node adds to a call over loopback: calls go
+// in turn to the upstream itself and to the node before it.
+func BenchmarkOverhead(b *testing.B) {
+	callers, upstream := newTestServer(b, 2*time.Millisecond)
+	direct, through := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	caller := client.New(testToken)
+	record := func(h *hdrhistogram.Histogram, f func() error) {
+		started := time.Now()
+		if err := f(); err != nil {
+			b.Fatal(err)
+		}
+		if err := h.RecordValue(time.Since(started).Microseconds()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		record(direct, func() error {
+			r, err := http.Post("http://"+upstream+"/call", "text/plain", strings.NewReader("x"))
+			if err != nil {
+				return err
+			}
+			defer r.Body.Close()
+			_, err = io.Copy(io.Discard, r.Body)
+			return err
+		})
+		record(through, func() error {
+			a, err := caller.Send(context.Background(), callers, client.Request{Service: "status", Input: "x"})
+			if err == nil && a.Outcome != wire.Done {
+				err = fmt.Errorf("outcome %q", a.Outcome)
+			}
+			return err
+		})
+	}
+	for _, q := range []float64{50, 99} {
+		added := through.ValueAtQuantile(q) - direct.ValueAtQuantile(q)
+		b.ReportMetric(float64(added), fmt.Sprintf("added-us-p%g", q))
+		b.ReportMetric(float64(direct.ValueAtQuantile(q)), fmt.Sprintf("direct-us-p%g", q))
+	}
+}
+
+// BenchmarkDigest measures the size and the coding of a gossip message by the
+// number of nodes known.
+func BenchmarkDigest(b *testing.B) {
+	for _, nodes := range []int{8, 440} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			config := member.DefaultConfig()
+			config.Self = member.Node{ID: "entry-0", Incarnation: "01a3185c-5000-7000-8000-000000000001", Addr: "10.10.10.10:8201", Zone: "zone-a"}
+			g := member.New(config, 1)
+			for i := range nodes {
+				id := fmt.Sprintf("entry-%d", i+1)
+				g.Step(time.Now(), member.Heard{Digest: member.Digest{From: member.Node{
+					ID: id, Incarnation: "01a3185c-5000-7000-8000-000000000001", Addr: fmt.Sprintf("10.0.%d.%d:8201", i/250, i%250), Zone: "zone-a", Beat: 1000, Version: 100000,
+				}}})
+			}
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(messageOf(g.Digest()))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "message-B")
+		})
+	}
+}
