--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -327,6 +327,7 @@
 	a.moved = now
 	if !a.started {
 		a.started = true
+		r.timers.Add(now.Add(r.config.Silence), timer{kind: timerAttempt, ref: e.Ref})
 		run.pool().first.record(now, now.Sub(a.began))
 	}
 	run.tokens = e.Tokens
