Test that a late answer is dropped

Change: a test that answers a cancelled attempt once its step has been passed. Ruled out: more histories, for the answers of two attempts of one step are equal.

--- a/pipe/world_test.go
+++ b/pipe/world_test.go
@@ -254,3 +254,24 @@
 		t.Errorf("after %+v the stream goes on with %+v", first, second)
 	}
 }
+
+// TestLateAnswer states that an answer which comes after its step has been passed
+// is dropped.
+func TestLateAnswer(t *testing.T) {
+	w := newWorld()
+	w.submit(false, 5*time.Second)
+	first := w.calls[0]
+	w.now = w.now.Add(DefaultConfig().AttemptTimeout)
+	w.step(Tick{})
+	w.answer(w.calls[0]) // The second attempt; the first has been cancelled.
+	w.answer(first)
+	if got := w.runner.Counts().Late; got != 1 {
+		t.Errorf("%d answers were late, want 1", got)
+	}
+	for len(w.open) > 0 {
+		w.answer(w.calls[len(w.calls)-1])
+	}
+	if err := proof.OwnWholeAnswer(&w.history); err != nil {
+		t.Error(err)
+	}
+}
