--- a/member/member.go
+++ b/member/member.go
@@ -188,6 +188,8 @@
 	config Config
 	self   Node
 	peers  map[string]*Peer
+	// sorted holds the peers by id; it is nil after a change of the map.
+	sorted []*Peer
 	// upstreams are the upstreams of the last host list.
 	upstreams []wire.Host
 	// listed are the addresses of the entry hosts of the last host list.
@@ -263,14 +265,16 @@
 	return marked
 }
 
-// Peers returns the other nodes sorted by id.
+// Peers returns the other nodes sorted by id. The slice must not be changed.
 func (g *Group) Peers() []*Peer {
-	peers := make([]*Peer, 0, len(g.peers))
-	for _, p := range g.peers {
-		peers = append(peers, p)
+	if g.sorted == nil {
+		g.sorted = make([]*Peer, 0, len(g.peers))
+		for _, p := range g.peers {
+			g.sorted = append(g.sorted, p)
+		}
+		sort.Slice(g.sorted, func(i, j int) bool { return g.sorted[i].node.ID < g.sorted[j].node.ID })
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].node.ID < peers[j].node.ID })
-	return peers
+	return g.sorted
 }
 
 // Peer returns another node by its id.
@@ -350,6 +354,7 @@
 	if p == nil || p.node.Incarnation != n.Incarnation && g.replaces(p, n) {
 		p = &Peer{state: Live, heard: now}
 		g.peers[n.ID] = p
+		g.sorted = nil
 		p.node = n
 		g.emit(Changed{})
 	} else if p.node.Incarnation != n.Incarnation || n.Beat <= p.node.Beat {
@@ -382,11 +387,13 @@
 	}
 	g.next = now.Add(g.config.Period)
 	g.self.Beat++
-	for id, p := range g.peers {
-		silent := time.Duration(float64(now.Sub(p.heard)) / g.scale())
+	scale := g.scale()
+	for _, p := range g.Peers() {
+		silent := time.Duration(float64(now.Sub(p.heard)) / scale)
 		switch {
 		case silent > 4*g.config.DeadAfter:
-			delete(g.peers, id)
+			delete(g.peers, p.node.ID)
+			g.sorted = nil
 			g.emit(Changed{})
 		case silent > g.config.DeadAfter:
 			g.move(p, expire)
@@ -425,27 +432,24 @@
 	return d
 }
 
-// pick returns the addresses of some random other nodes. Addresses that are
-// only listed or seeds are among them, so that a partition heals.
+// pick returns the addresses of some random other nodes. At times they are taken
+// from those that are only listed or seeds, so that a partition heals.
 func (g *Group) pick(count int) []string {
-	known := make(map[string]bool)
-	for _, p := range g.peers {
-		if p.state != Dead {
-			known[p.node.Addr] = true
+	var addrs []string
+	for _, p := range g.Peers() {
+		if p.state != Dead && p.node.Addr != g.self.Addr {
+			addrs = append(addrs, p.node.Addr)
 		}
 	}
-	rest := append(slices.Clone(g.listed), g.config.Seeds...)
-	if len(known) == 0 || g.random.IntN(4) == 0 {
-		for _, addr := range rest {
-			known[addr] = true
-		}
+	rest := slices.DeleteFunc(append(slices.Clone(g.listed), g.config.Seeds...), func(addr string) bool {
+		return addr == g.self.Addr
+	})
+	if len(rest) > 0 && (len(addrs) == 0 || g.random.IntN(4) == 0) {
+		addrs = rest
 	}
-	delete(known, g.self.Addr)
-	addrs := make([]string, 0, len(known))
-	for addr := range known {
-		addrs = append(addrs, addr)
+	for i := range min(count, len(addrs)) {
+		j := i + g.random.IntN(len(addrs)-i)
+		addrs[i], addrs[j] = addrs[j], addrs[i]
 	}
-	sort.Strings(addrs)
-	g.random.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	return addrs[:min(count, len(addrs))]
 }
