Tell a stream's first token from its pace in estimates

Change: the first token and the pace after it are recorded apart. Ruled out: counting only 0.3, 0.5 or 0.7 of the expected wait, which changed nothing outside the surge.

--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -301,8 +301,10 @@
 	began  time.Time
 	// moved is when the attempt last made progress.
 	moved time.Time
-	// started is true once the attempt has brought a token.
-	started bool
+	// first is when the attempt brought its first token, or zero, and from
+	// is the index of that token.
+	first time.Time
+	from  int
 	// hedge is true for a second attempt beside a slow one.
 	hedge bool
 }
@@ -402,7 +404,8 @@
 	urgent []string
 	// ticking is true while a timer for the queue is set.
 	ticking bool
-	// latency is of attempts that were answered; for streams, by token.
+	// latency is of attempts that were answered; for streams, of a token
+	// after the first.
 	latency latency
 	// first is of first tokens.
 	first latency
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -111,7 +111,7 @@
 		}
 		usual := p.latency.p50
 		if run.request.Steps[i].Stream {
-			usual *= time.Duration(max(run.request.Tokens-tokens, 0))
+			usual = p.first.p50 + usual*time.Duration(max(run.request.Tokens-tokens, 0))
 			tokens = 0
 		}
 		total += usual
@@ -325,8 +325,8 @@
 		return
 	}
 	a.moved = now
-	if !a.started {
-		a.started = true
+	if a.first.IsZero() {
+		a.first, a.from = now, e.Tokens
 		r.timers.Add(now.Add(r.config.Silence), timer{kind: timerAttempt, ref: e.Ref})
 		run.pool().first.record(now, now.Sub(a.began))
 	}
@@ -346,12 +346,12 @@
 		return
 	}
 	p := run.pool()
-	taken := now.Sub(a.began)
 	if run.step().Stream {
 		run.tokens = e.Tokens
-		taken /= time.Duration(max(e.Tokens, 1))
+		p.recordPace(now, a, e.Tokens)
+	} else {
+		p.latency.record(now, now.Sub(a.began))
 	}
-	p.latency.record(now, taken)
 	p.rate.add(now, 1)
 	if a.hedge {
 		r.counts.HedgeWins++
@@ -369,6 +369,14 @@
 	r.pump(now, p)
 }
 
+// recordPace records the time that a token of a stream took after the first.
+func (p *pool) recordPace(now time.Time, a *attempt, tokens int) {
+	if a.first.IsZero() || tokens <= a.from {
+		return
+	}
+	p.latency.record(now, now.Sub(a.first)/time.Duration(tokens-a.from))
+}
+
 func (run *running) addWork(pool string, work int) {
 	if work == 0 {
 		return
@@ -592,7 +600,7 @@
 		return
 	}
 	p := run.pool()
-	due := a.moved.Add(r.patience(p, run.step(), a.started))
+	due := a.moved.Add(r.patience(p, run.step(), !a.first.IsZero()))
 	if now.Before(due) {
 		r.timers.Add(due, timer{kind: timerAttempt, ref: ref})
 		return
