--- a/route/route.go
+++ b/route/route.go
@@ -417,7 +417,7 @@
 const backoff = 0.85
 
 func (w *Worker) grow() {
-	if float64(w.flight+1) >= w.limit-1 && w.load.Queued == 0 {
+	if float64(w.flight+1) >= w.limit-1 {
 		w.limit = min(w.limit+1/w.limit, maxLimit)
 	}
 }
@@ -443,7 +443,7 @@
 	if first {
 		w.limit = max(share*2, minLimit)
 	}
-	if load.Queued > 0 && float64(w.flight) > share {
+	if load.Queued > load.Slots/4 && float64(w.flight) > share {
 		w.shrink()
 	}
 	w.limit = min(w.limit, float64(2*load.Slots))
