--- a/cmd/standin/drive.go
+++ b/cmd/standin/drive.go
@@ -16,6 +16,7 @@
 type driver struct {
 	Nodes    []string      `required:"" help:"Addresses of listeners for callers."`
 	Token    string        `required:"" help:"Credential of the client account."`
+	Killed   []string      `help:"Nodes that are killed meanwhile."`
 	Pipeline string        `help:"Pipeline to call."`
 	Stages   []string      `help:"Kinds of the pipeline's stages, in order."`
 	Tokens   int           `default:"32" help:"Tokens to generate."`
@@ -28,7 +29,7 @@
 // Run implements the subcommand.
 func (c *driver) Run() error {
 	report, err := drive.Run(context.Background(), drive.Config{
-		Nodes: c.Nodes, Token: c.Token, Pipeline: c.Pipeline, Stages: c.Stages, Tokens: c.Tokens,
+		Nodes: c.Nodes, Token: c.Token, Killed: c.Killed, Pipeline: c.Pipeline, Stages: c.Stages, Tokens: c.Tokens,
 		Service: c.Service, Counters: c.Counters, Rate: c.Rate, Duration: c.Duration,
 	})
 	if err != nil {
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -24,6 +27,8 @@
 	// Nodes are the addresses of listeners for callers.
 	Nodes []string
 	Token string
+	// Killed are the nodes that the test kills; calls on them may be cut.
+	Killed []string
 	// Pipeline is called with Stages, the kinds of its stages in order, the
 	// last of which generates Tokens tokens.
 	Pipeline string
@@ -44,7 +49,7 @@
 	Answered int `json:"answered"`
 	NotRun   int `json:"not_run"`
 	Unknown  int `json:"unknown"`
-	// Unreached calls got no answer since their node was gone.
+	// Unreached calls got no answer since their node was gone or killed.
 	Unreached int `json:"unreached"`
 	// Lost counts streams that were cut by a live node, results that a
 	// repeat of the key did not return, and runs denied by "not run".
@@ -126,15 +131,23 @@
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tally(answer, err, d.expected(input))
+	d.tally(d.node(number), answer, err, d.expected(input))
+}
+
+// gone reports whether a call without an answer is explained by its node having
+// stopped before the call, or having been killed.
+func (d *driver) gone(node string, err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || slices.Contains(d.config.Killed, node)
 }
 
 // tally counts an answer.
-func (d *driver) tally(answer wire.Answer, err error, want string) {
+func (d *driver) tally(node string, answer wire.Answer, err error, want string) {
 	r := &d.report
 	switch {
-	case err != nil:
+	case err != nil && d.gone(node, err):
 		r.Unreached++
+	case err != nil:
+		r.Lost++
 	case answer.Outcome == wire.NotRun:
 		r.NotRun++
 	case answer.Outcome == wire.Unknown:
@@ -158,7 +171,8 @@
 	input := "filing-" + key
 	want := fakes.Output("receipt", input)
 	for try := range repeats {
-		answer, err := d.client.Send(ctx, d.node(number+try), client.Request{
+		node := d.node(number + try)
+		answer, err := d.client.Send(ctx, node, client.Request{
 			Service: d.config.Service, Input: input, Key: key,
 		})
 		d.mu.Lock()
@@ -166,7 +180,7 @@
 			d.report.Lost++
 		}
 		if !d.done[key] {
-			d.tally(answer, err, want)
+			d.tally(node, answer, err, want)
 		}
 		d.denied[key] = err == nil && answer.Outcome == wire.NotRun
 		d.done[key] = d.done[key] || err == nil && answer.Outcome == wire.Done
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -103,7 +103,7 @@
 bin/standin drive --nodes "$nodes" --token "$token" \
 	--pipeline drafts --stages encoder,retriever,reranker,generator --tokens 32 \
 	--service filing --counters "$(IFS=,; echo "${counters[*]}")" \
-	--rate 20 --duration "$duration" >"$work/drive.out" 2>&1 &
+	--killed "${callers[2]}" --rate 20 --duration "$duration" >"$work/drive.out" 2>&1 &
 drive=$!
 sleep 4
 say "stopping entry-2 gracefully"
@@ -111,6 +111,7 @@
 sleep 4
 say "killing entry-3"
 kill -KILL "$pid_entry_3"
+wait "$pid_entry_3" 2>/dev/null || true
 status=0
 wait "$drive" || status=$?
 bin/teaselplank status
--- a/server/server.go
+++ b/server/server.go
@@ -197,6 +197,8 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	// Callers with open connections are led away while the node drains.
+	servers[0].SetKeepAlivesEnabled(false)
 	s.drain()
 	for _, one := range servers {
 		s.shutdown(one)
