Let one state machine serve nodes on several goroutines

Cause: the transition tables are shared by all nodes of a process, and remembered their answers in a map without a lock. The shell looks for changes to log at most every 50 ms; it used to list the live nodes, sorted, at every event. Ruled out: a lock in each transition, which costs more than the transition. Conclusion: mended at the root; TestConcurrent guards it.

--- a/server/server.go
+++ b/server/server.go
@@ -54,8 +54,10 @@
 	context context.Context
 	close   context.CancelFunc
 	loopEnd chan struct{}
-	// last is the loop's memory of what it has logged.
-	last observed
+	// last is the loop's memory of what it has logged, observed when it last
+	// looked.
+	last     observation
+	observed time.Time
 	// set is the rules in force, for handlers.
 	set atomic.Pointer[rules.Set]
 }
@@ -174,9 +176,18 @@
 	for _, e := range s.node.Step(time.Now(), event) {
 		s.perform(e)
 	}
-	s.observe()
+	if set := s.node.Book().Set(); set != s.set.Load() {
+		s.set.Store(set)
+	}
+	if now := time.Now(); now.Sub(s.observed) >= observeEvery {
+		s.observed = now
+		s.observe()
+	}
 }
 
+// observeEvery is the least time between two looks for changes to log.
+const observeEvery = 50 * time.Millisecond
+
 // Serve listens at the three addresses and serves them until ctx ends; then it
 // drains the node and returns. Nothing that is under way is cut.
 func (s *Server) Serve(ctx context.Context) error {
@@ -262,8 +273,8 @@
 	}
 }
 
-// observed is what the loop has last logged of the node's state.
-type observed struct {
+// observation is what the loop has last logged of the node's state.
+type observation struct {
 	version int64
 	unready string
 	live    int
@@ -271,11 +282,10 @@
 
 // observe logs changes of the node's state.
 func (s *Server) observe() {
-	now := observed{s.node.Book().Version(), s.node.Unready(), len(s.node.Group().Live())}
+	now := observation{s.node.Book().Version(), s.node.Unready(), len(s.node.Group().Live())}
 	if now == s.last {
 		return
 	}
-	s.set.Store(s.node.Book().Set())
 	if now.version != s.last.version {
 		s.logger.Info("rules in force", "version", now.version)
 	}
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -34,3 +34,21 @@
 		}
 	}
 }
+
+// TestConcurrent states, under the race detector, that one machine serves several
+// goroutines.
+func TestConcurrent(t *testing.T) {
+	m := New("light", Rule[light, signal]{"go", []light{"red"}, "green"})
+	done := make(chan error)
+	for range 4 {
+		go func() {
+			_, err := m.Next("red", "go")
+			done <- err
+		}()
+	}
+	for range 4 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
