--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -17,6 +17,7 @@
 
 	"teaselplank/client"
 	"teaselplank/conf"
+	"teaselplank/core"
 	"teaselplank/fakes"
 	"teaselplank/member"
 	"teaselplank/rules"
@@ -25,14 +26,14 @@
 
 const testToken = "test-credential"
 
-// newTestServer returns a ready node in this process before one upstream of the
-// service status, the address of its listener for callers and the upstream's.
-func newTestServer(tb testing.TB, latency time.Duration) (callers, upstream string) {
+// startTestServer returns a ready node in this process before one upstream of the
+// service status.
+func startTestServer(tb testing.TB, latency time.Duration) *Server {
 	tb.Helper()
 	u := httptest.NewServer(fakes.NewUpstream(fakes.UpstreamConfig{Slots: 64, Latency: latency}).Handler())
 	tb.Cleanup(u.Close)
 	p := fakes.NewPlatform(fakes.PlatformConfig{})
-	upstream = u.Listener.Addr().String()
+	upstream := u.Listener.Addr().String()
 	p.SetHosts([]wire.Host{{ID: "status-0", Incarnation: "1", Role: "upstream", Pool: "status", Zone: "a", Addr: upstream}})
 	text := fmt.Sprintf("service status repeat=safe deadline=5s # test\naccount a weight=1 token=sha256:%x # test\n", sha256.Sum256([]byte(testToken)))
 	lines, err := rules.Parse("rules", text)
@@ -57,22 +58,29 @@
 		tb.Fatal(err)
 	}
 	tb.Cleanup(node.Close)
-	front := httptest.NewServer(node.callerHandler())
-	tb.Cleanup(front.Close)
-	callers = front.Listener.Addr().String()
 	for {
-		a, err := client.New(testToken).Send(context.Background(), callers, client.Request{Service: "status", Input: "x"})
-		if err == nil && a.Outcome == wire.Done {
-			return callers, upstream
+		ready := false
+		node.Query(func(n *core.Node) { ready = n.Ready() && n.Book().Version() > 0 })
+		if ready {
+			return node
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// upstreamOf returns the address of the only upstream of a test server.
+func upstreamOf(s *Server) (addr string) {
+	s.Query(func(n *core.Node) { addr = n.Group().Upstreams()[0].Addr })
+	return addr
+}
+
 // BenchmarkOverhead measures what a node adds to a call over loopback: calls go
 // in turn to the upstream itself and to the node before it.
 func BenchmarkOverhead(b *testing.B) {
-	callers, upstream := newTestServer(b, 2*time.Millisecond)
+	node := startTestServer(b, 2*time.Millisecond)
+	front := httptest.NewServer(node.callerHandler())
+	b.Cleanup(front.Close)
+	callers, upstream := front.Listener.Addr().String(), upstreamOf(node)
 	direct, through := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
 	caller := client.New(testToken)
 	record := func(h *hdrhistogram.Histogram, f func() error) {
