Set one timer for each request

Cause: a quarter of the reducer's time went into timers of requests that had ended: one for the deadline and one for each attempt. Change: a request has one timer, for whichever comes first; it is set anew when it is due. Ruled out: removing timers from the heap, which needs their places in it.

--- a/pipe/arrive.go
+++ b/pipe/arrive.go
@@ -18,8 +18,8 @@
 		return
 	}
 	r.requests[q.ID] = run
-	r.timers.Add(q.Deadline, timer{kind: timerDeadline, ref: Ref{Request: q.ID}})
 	r.enter(now, run)
+	r.arm(run)
 }
 
 // refusal returns why a request is not taken, and when to come back.
--- a/pipe/attempt.go
+++ b/pipe/attempt.go
@@ -1,6 +1,7 @@
 package pipe
 
 import (
+	"slices"
 	"time"
 
 	"teaselplank/route"
@@ -39,7 +40,7 @@
 	if step.Once {
 		return
 	}
-	r.timers.Add(now.Add(r.patience(p, step, false)), timer{kind: timerAttempt, ref: ref})
+	r.arm(run)
 	if r.config.Hedge && step.Hedge && !step.Stream && !hedge && p.latency.known {
 		r.timers.Add(now.Add(p.latency.p95), timer{kind: timerHedge, ref: ref})
 	}
@@ -96,9 +97,9 @@
 		return
 	}
 	a.moved = now
+	defer r.arm(run)
 	if a.first.IsZero() {
 		a.first, a.from = now, e.Tokens
-		r.timers.Add(now.Add(r.config.Silence), timer{kind: timerAttempt, ref: e.Ref})
 		run.pool().first.record(now, now.Sub(a.began))
 	}
 	run.tokens = e.Tokens
@@ -273,22 +274,46 @@
 	}
 }
 
-// checkSilence fails an attempt that has made no progress.
-func (r *Runner) checkSilence(now time.Time, run *running, ref Ref) {
-	a := run.attempt(ref)
-	if a == nil {
+// due returns when an attempt counts as silent unless it makes progress.
+func (r *Runner) due(run *running, a *attempt) time.Time {
+	return a.moved.Add(r.patience(run.pool(), run.step(), !a.first.IsZero()))
+}
+
+// arm sets the timer for what comes first: the request's deadline, or an attempt
+// that falls silent. A timer that is set for earlier is left.
+func (r *Runner) arm(run *running) {
+	due := run.request.Deadline
+	for i := range run.attempts {
+		if at := r.due(run, &run.attempts[i]); !run.step().Once && at.Before(due) {
+			due = at
+		}
+	}
+	if run.status == ended || !run.armed.IsZero() && !due.Before(run.armed) {
 		return
 	}
-	p := run.pool()
-	due := a.moved.Add(r.patience(p, run.step(), !a.first.IsZero()))
-	if now.Before(due) {
-		r.timers.Add(due, timer{kind: timerAttempt, ref: ref})
+	run.armed = due
+	r.timers.Add(due, timer{kind: timerCheck, ref: Ref{Request: run.request.ID}, due: due})
+}
+
+// check ends a request whose deadline has come and fails attempts that have made
+// no progress.
+func (r *Runner) check(now time.Time, run *running) {
+	run.armed = time.Time{}
+	if !now.Before(run.request.Deadline) {
+		r.counts.Expired++
+		r.end(now, run, run.failure(ReasonDeadline))
 		return
 	}
-	if r.config.Cancel {
-		r.emit(Cancel{Ref: ref, Worker: a.worker})
+	for _, a := range slices.Clone(run.attempts) {
+		if run.attempt(a.ref) == nil || run.step().Once || now.Before(r.due(run, &a)) {
+			continue
+		}
+		if r.config.Cancel {
+			r.emit(Cancel{Ref: a.ref, Worker: a.worker})
+		}
+		r.failed(now, Failed{Ref: a.ref, Failure: Silent, Tokens: run.tokens})
 	}
-	r.failed(now, Failed{Ref: ref, Failure: Silent, Tokens: run.tokens})
+	r.arm(run)
 }
 
 // hedge starts a second attempt beside a slow one, if the budget allows.
--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -156,6 +156,9 @@
 	// sent counts the attempts that may have reached an upstream.
 	sent int
 	work map[string]int
+	// armed is when the request is to be checked next, or zero. At most one
+	// timer that counts is set for a request.
+	armed time.Time
 	// waiting is true while the request stands in its pool's queue.
 	waiting bool
 	arrived time.Time
@@ -180,8 +183,8 @@
 type timerKind int
 
 const (
-	timerDeadline timerKind = iota
-	timerAttempt
+	// timerCheck is for a request's deadline and the silence of its attempts.
+	timerCheck timerKind = iota
 	timerHedge
 	timerQueue
 )
@@ -190,6 +193,8 @@
 	kind timerKind
 	ref  Ref
 	pool string
+	// due is when a timerCheck was set for.
+	due time.Time
 }
 
 // Counts are the totals since the runner was created.
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -193,11 +193,10 @@
 			continue
 		}
 		switch t.kind {
-		case timerDeadline:
-			r.counts.Expired++
-			r.end(now, run, run.failure(ReasonDeadline))
-		case timerAttempt:
-			r.checkSilence(now, run, t.ref)
+		case timerCheck:
+			if t.due.Equal(run.armed) {
+				r.check(now, run)
+			}
 		case timerHedge:
 			r.hedge(now, run, t.ref)
 		}
