Do not say "not run" of a key from the future

Cause: reading the change once more: a key that lies in the future by one node's clock may have run at a node whose clock is ahead, within the bound between clocks; the first node told its caller that it had not run. Change: such a key is refused as unknown, with nothing dispatched. Ruled out: accepting such keys, which would leave the window without an upper end. Conclusion: a key that is no UUID of version 7 is the only one refused as not run.

--- a/ledger/attempt.go
+++ b/ledger/attempt.go
@@ -71,8 +71,9 @@
 	case ReasonExpired, ReasonBadKey, ReasonFutureKey, ReasonConflict:
 		answer.RetryAfter = 0
 	}
-	if reason == ReasonBadKey || reason == ReasonFutureKey {
-		// No node ever accepts such a key, so it has not run anywhere.
+	if reason == ReasonBadKey {
+		// No node ever accepts such a key, so it has not run anywhere. A key of
+		// the future may have run at a node whose clock is ahead.
 		answer.Outcome = wire.NotRun
 	}
 	l.emit(answer)
--- a/ledger/moments_test.go
+++ b/ledger/moments_test.go
@@ -239,6 +239,16 @@
 			s.ask(0, Key{"kingston", "invoice-17"})
 			s.ask(0, Key{"kingston", "6ba7b810-9dad-41d1-80b4-00c04fd430c8"})
 		}, []wire.Outcome{notRun, notRun}},
+		{"key that is in the future by one node's clock, after it ran at another", false, func(s script) {
+			s.pass(2 * time.Second)
+			k := s.newKey()
+			s.pass(-time.Second) // The clock of node 0 is behind the caller's.
+			s.ask(0, k)
+			readClaim(s, 0)
+			answer[Dispatch](s, 0)
+			s.pass(-time.Second) // That of node 1 is behind node 0's.
+			s.ask(1, k)
+		}, []wire.Outcome{done, unknown}},
 		{"caller leaves before the claim is read", false, func(s script) {
 			s.ask(0, s.newKey())
 			answer[Append](s, 0)
