Remove state that nothing read

Cause: reading the change once more found fields that were written only. Change: a request's arrival time, an upstream's Retry-After on its way to the reducer, the count of malformed lease records and a result's node are gone. Behaviour is unchanged. Ruled out: one table for the set-ups of the property tests, which are alike in shape only.

--- a/bench/world.go
+++ b/bench/world.go
@@ -54,7 +54,6 @@
 	outcome wire.Outcome
 	status  int
 	answer  wire.Answer
-	node    *node
 }
 
 // usualLag is how long a reported load usually lags, and localDelay the time one
@@ -168,7 +167,7 @@
 func (w *world) arrive(i int, a arrival) {
 	n := w.nodes[a.draw%len(w.nodes)]
 	id := fmt.Sprintf("call-%d", i)
-	w.calls[id] = &result{arrival: a, node: n}
+	w.calls[id] = &result{arrival: a}
 	c := core.Call{ID: id, Account: a.account.Name, Input: id, Prefix: a.prefix, Tokens: a.tokens}
 	if a.service != "" {
 		c.Service = a.service
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -68,8 +68,7 @@
 	grants map[string]Grant
 	// synced is the time from which claims count when older records were
 	// dropped unread: an unknown lease may last until then.
-	synced    time.Time
-	malformed int
+	synced time.Time
 }
 
 // Next returns the offset at which reading has to go on.
@@ -98,8 +97,7 @@
 func (b *Book) fold(r wire.Record) {
 	var c Claim
 	if err := json.Unmarshal(r.Data, &c); err != nil {
-		b.malformed++
-		return
+		return // Not a claim; every book passes it over.
 	}
 	held, known := b.grants[c.Name]
 	current := known && held.Holder == c.Holder && held.Number == c.Number
--- a/pipe/arrive.go
+++ b/pipe/arrive.go
@@ -9,7 +9,7 @@
 // submit takes a request, or refuses it before it costs anything.
 func (r *Runner) submit(now time.Time, q Request) {
 	r.counts.Submitted++
-	run := &running{request: q, pools: r.poolsOf(q), status: queued, input: q.Input, arrived: now}
+	run := &running{request: q, pools: r.poolsOf(q), status: queued, input: q.Input}
 	for _, p := range run.pools {
 		p.shares.arrive(now, q.Account)
 	}
--- a/pipe/event.go
+++ b/pipe/event.go
@@ -47,8 +47,6 @@
 	// Tokens is the index of the next token that is wanted.
 	Tokens int
 	Work   int
-	// RetryAfter is what the upstream asked to wait, or 0.
-	RetryAfter time.Duration
 }
 
 // Left reports that the caller of a request has gone.
--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -161,7 +161,6 @@
 	armed time.Time
 	// waiting is true while the request stands in its pool's queue.
 	waiting bool
-	arrived time.Time
 	entered time.Time
 }
 
--- a/server/attempt.go
+++ b/server/attempt.go
@@ -86,7 +86,7 @@
 	if !connected.Load() {
 		failure = pipe.Unsent
 	}
-	s.fail(e, failure, 0, 0)
+	s.fail(e, failure, 0)
 	return nil
 }
 
@@ -96,9 +96,9 @@
 	}
 }
 
-func (s *Server) fail(e pipe.Call, failure pipe.Failure, tokens int, wait time.Duration) {
+func (s *Server) fail(e pipe.Call, failure pipe.Failure, tokens int) {
 	s.metrics.upstreamFailure(e.Worker.Pool, failureNames[failure])
-	s.Post(pipe.Failed{Ref: e.Ref, Failure: failure, Tokens: tokens, RetryAfter: wait})
+	s.Post(pipe.Failed{Ref: e.Ref, Failure: failure, Tokens: tokens})
 }
 
 var failureNames = map[pipe.Failure]string{
@@ -112,8 +112,7 @@
 	if answer.StatusCode == http.StatusTooManyRequests || answer.StatusCode == http.StatusServiceUnavailable {
 		failure = pipe.Busy
 	}
-	seconds, _ := strconv.Atoi(answer.Header.Get("Retry-After"))
-	s.fail(e, failure, 0, time.Duration(seconds)*retryAfterUnit)
+	s.fail(e, failure, 0)
 }
 
 // open sends a stage call and returns an answer of status 200. A nil answer was
@@ -121,12 +120,12 @@
 func (s *Server) open(ctx context.Context, e pipe.Call, path string) *http.Response {
 	body, err := stageCall(e)
 	if err != nil {
-		s.fail(e, pipe.Unsent, 0, 0)
+		s.fail(e, pipe.Unsent, 0)
 		return nil
 	}
 	r, err := post(ctx, e.Worker, path, body)
 	if err != nil {
-		s.fail(e, pipe.Unsent, 0, 0)
+		s.fail(e, pipe.Unsent, 0)
 		return nil
 	}
 	answer := s.send(ctx, s.upstreams.shared, e, r)
@@ -148,13 +147,13 @@
 	data, err := io.ReadAll(io.LimitReader(answer.Body, wire.MaxBody+1))
 	var reply wire.StageReply
 	if err != nil || len(data) > wire.MaxBody || json.Unmarshal(data, &reply) != nil {
-		s.fail(e, pipe.Broken, 0, 0)
+		s.fail(e, pipe.Broken, 0)
 		return
 	}
 	if (pipe.Ref{Request: reply.Request, Stage: reply.Stage, Attempt: reply.Attempt}) != e.Ref {
 		answer.Close = true
 		s.upstreams.shared.CloseIdleConnections()
-		s.fail(e, pipe.Crossed, 0, 0)
+		s.fail(e, pipe.Crossed, 0)
 		return
 	}
 	s.Post(core.Load{Host: e.Worker.ID, Load: reply.Load})
@@ -166,7 +165,7 @@
 func (s *Server) callService(ctx context.Context, e pipe.Call) {
 	r, err := post(ctx, e.Worker, "/call", []byte(e.Input))
 	if err != nil {
-		s.fail(e, pipe.Unsent, 0, 0)
+		s.fail(e, pipe.Unsent, 0)
 		return
 	}
 	client := s.upstreams.shared
@@ -183,7 +182,7 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode == http.StatusPreconditionFailed {
-		s.fail(e, pipe.Stale, 0, 0)
+		s.fail(e, pipe.Stale, 0)
 		return
 	}
 	if answer.StatusCode >= http.StatusInternalServerError || answer.StatusCode == http.StatusTooManyRequests {
@@ -192,7 +191,7 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, wire.MaxBody+1))
 	if err != nil || len(data) > wire.MaxBody {
-		s.fail(e, pipe.Broken, 0, 0)
+		s.fail(e, pipe.Broken, 0)
 		return
 	}
 	s.Post(pipe.Replied{Ref: e.Ref, Output: string(data), Status: answer.StatusCode, Work: 1})
@@ -201,7 +200,7 @@
 // callStream passes the tokens of a generation on to the caller's sink.
 func (s *Server) callStream(ctx context.Context, e pipe.Call, sink *sink) {
 	if sink == nil {
-		s.fail(e, pipe.Unsent, 0, 0)
+		s.fail(e, pipe.Unsent, 0)
 		return
 	}
 	answer := s.open(ctx, e, "/stream")
@@ -232,7 +231,7 @@
 			break
 		}
 		if (pipe.Ref{Request: t.Request, Stage: t.Stage, Attempt: t.Attempt}) != e.Ref || t.Index != next {
-			s.fail(e, pipe.Crossed, sink.len(e.Ref), 0)
+			s.fail(e, pipe.Crossed, sink.len(e.Ref))
 			return
 		}
 		if t.End {
@@ -240,7 +239,7 @@
 			return
 		}
 		if !sink.add(e.Ref, t.Index, t.Text) {
-			s.fail(e, pipe.Silent, sink.len(e.Ref), 0)
+			s.fail(e, pipe.Silent, sink.len(e.Ref))
 			return
 		}
 		next++
@@ -249,7 +248,7 @@
 			s.Post(pipe.Progress{Ref: e.Ref, Tokens: next})
 		}
 	}
-	s.fail(e, pipe.Broken, sink.len(e.Ref), 0)
+	s.fail(e, pipe.Broken, sink.len(e.Ref))
 }
 
 func (s *Server) endStream(e pipe.Call, t wire.Token, sink *sink) {
--- a/server/upstream.go
+++ b/server/upstream.go
@@ -46,12 +46,11 @@
 
 // The bounds of connections to upstreams.
 const (
-	dialTimeout    = time.Second
-	dialIdle       = 30 * time.Second
-	idlePerHost    = 64
-	cancelTimeout  = time.Second
-	maxTokenLine   = 64 << 10
-	retryAfterUnit = time.Second
+	dialTimeout   = time.Second
+	dialIdle      = 30 * time.Second
+	idlePerHost   = 64
+	cancelTimeout = time.Second
+	maxTokenLine  = 64 << 10
 )
 
 func newUpstreams() *upstreams {
