--- /dev/null
+++ b/batch/worker.go
@@ -0,0 +1,133 @@
+package batch
+
+import (
+	"time"
+
+	"teaselplank/fleet"
+)
+
+// A worker is what the scheduler knows of one worker of a stage service.
+type worker struct {
+	upstream fleet.Upstream
+	batch    fleet.Batch
+	// call is under way, or nil.
+	call *call
+	// slow is a moving mean of the time that calls took over what they should.
+	slow float64
+	// failures counts the calls in a row that failed, and suspectUntil is how
+	// long the worker is passed over for them.
+	failures     int
+	suspectUntil time.Time
+	// fullUntil is how long the worker is passed over since it had no room.
+	fullUntil time.Time
+	// held are the results that lie at the worker, in bytes of about used, and
+	// reserved is for the results of the call under way.
+	held     map[string]held
+	used     int64
+	reserved int64
+	// unwanted are held results to be freed at the worker.
+	unwanted []string
+	// probedAt is when a worker that seems slow was last tried.
+	probedAt time.Time
+}
+
+type held struct {
+	bytes   int64
+	expires time.Time
+}
+
+const (
+	// suspectFor is how long a worker is passed over after a call failed; it
+	// doubles with each failure up to maxSuspect.
+	suspectFor = 300 * time.Millisecond
+	maxSuspect = 3 * time.Second
+	// fullPause is how long a worker that had no room for a call is passed over:
+	// about half a call of another owner.
+	fullPause = 120 * time.Millisecond
+	// noRoomPause is for a worker without memory for a result.
+	noRoomPause = 150 * time.Millisecond
+	// slowFactor is from which slowness a worker is used only if there is no
+	// other, but for one try every probeEvery.
+	slowFactor = 1.8
+	probeEvery = 1500 * time.Millisecond
+	// slowWeight is the weight of the newest call in the moving mean.
+	slowWeight = 0.6
+	// spaceShare is the share of a worker's memory for results that is used,
+	// since the sizes of results are known only roughly.
+	spaceShare = 0.92
+)
+
+// finish takes in the end of a call.
+func (w *worker) finish(now time.Time, c *call, failure Failure) {
+	w.call = nil
+	switch failure {
+	case Full:
+		w.fullUntil = now.Add(fullPause)
+	case Unreached, Broken:
+		w.failures++
+		w.suspectUntil = now.Add(min(suspectFor<<min(w.failures-1, 6), maxSuspect))
+	default:
+		w.failures = 0
+		ratio := float64(now.Sub(c.sent)) / float64(c.expect)
+		w.slow += slowWeight * (max(ratio, 1) - w.slow)
+	}
+}
+
+// usable reports whether the worker can be sent calls at all.
+func (w *worker) usable(now time.Time) bool {
+	return !w.upstream.Draining && !now.Before(w.suspectUntil)
+}
+
+// idle reports whether the worker can take a call now.
+func (w *worker) idle(now time.Time) bool {
+	return w.usable(now) && w.call == nil && !now.Before(w.fullUntil)
+}
+
+// freeAt returns when the worker is likely to take its next call.
+func (w *worker) freeAt(now time.Time) time.Time {
+	at := now
+	if w.call != nil {
+		at = later(at, w.call.sent.Add(time.Duration(float64(w.call.expect)*w.slow)))
+	}
+	return later(at, w.fullUntil)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// space returns the memory that is left for results.
+func (w *worker) space(now time.Time) int64 {
+	for handle, h := range w.held {
+		if now.After(h.expires) {
+			w.used -= h.bytes
+			delete(w.held, handle)
+		}
+	}
+	return int64(spaceShare*float64(w.batch.ResultSpace)) - w.used - w.reserved
+}
+
+// keep notes a result at the worker.
+func (w *worker) keep(now time.Time, handle string, bytes int64) {
+	w.held[handle] = held{bytes: bytes, expires: now.Add(w.batch.ResultLife)}
+	w.used += bytes
+}
+
+// free notes that a result is of no use any more.
+func (w *worker) free(handle string) {
+	h, ok := w.held[handle]
+	if !ok {
+		return
+	}
+	delete(w.held, handle)
+	w.used -= h.bytes
+	w.unwanted = append(w.unwanted, handle)
+}
+
+// callTime returns what a call of so many pieces takes at full speed.
+func callTime(b fleet.Batch, items int) time.Duration {
+	return b.CallTime + time.Duration(items)*b.ItemTime
+}
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -98,14 +98,6 @@
 
 // Parse checks the text of a settings file.
 func Parse(file string, data []byte) (*Settings, error) {
-	if len(data) > maxFile {
-		return nil, Faults{{File: file, Message: fmt.Sprintf("file has %d bytes, more than %d", len(data), maxFile)}}
-	}
-	options := ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}
-	parsed, err := ini.LoadSources(options, data)
-	if err != nil {
-		return nil, Faults{{File: file, Message: err.Error()}}
-	}
 	s := &Settings{
 		PlatformTimeout: 2 * time.Second,
 		LogFormat:       "text",
@@ -115,11 +107,14 @@
 		MaxCalls:        4096,
 		Core:            core.DefaultConfig(),
 	}
-	c := &checker{file: file, lines: findLines(string(data)), parsed: parsed}
-	c.check(s)
-	if len(c.faults) > 0 {
-		sort.SliceStable(c.faults, func(i, j int) bool { return c.faults[i].Line < c.faults[j].Line })
-		return nil, c.faults
+	c, err := newChecker(file, data)
+	if err != nil {
+		return nil, err
+	}
+	c.check(s.schema())
+	c.checkRetention(s)
+	if err := c.result(); err != nil {
+		return nil, err
 	}
 	s.finish()
 	return s, nil
@@ -179,12 +174,34 @@
 	faults Faults
 }
 
+// newChecker parses the text of a settings file.
+func newChecker(file string, data []byte) (*checker, error) {
+	if len(data) > maxFile {
+		return nil, Faults{{File: file, Message: fmt.Sprintf("file has %d bytes, more than %d", len(data), maxFile)}}
+	}
+	options := ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}
+	parsed, err := ini.LoadSources(options, data)
+	if err != nil {
+		return nil, Faults{{File: file, Message: err.Error()}}
+	}
+	return &checker{file: file, lines: findLines(string(data)), parsed: parsed}, nil
+}
+
+// result returns all faults in the order of their lines, or nil.
+func (c *checker) result() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(c.faults, func(i, j int) bool { return c.faults[i].Line < c.faults[j].Line })
+	return c.faults
+}
+
 func (c *checker) fault(section, key, message string) {
 	c.faults = append(c.faults, &Fault{c.file, c.lines[place{section, key}], section, key, message})
 }
 
-func (c *checker) check(s *Settings) {
-	settings := s.schema()
+// check takes in the settings and finds the sections and keys that do not exist.
+func (c *checker) check(settings []setting) {
 	known := make(map[place]bool)
 	sections := make(map[string]bool)
 	for _, one := range settings {
@@ -203,6 +220,10 @@
 			}
 		}
 	}
+}
+
+// checkRetention compares the window of idempotency keys with what the log keeps.
+func (c *checker) checkRetention(s *Settings) {
 	if w, r := s.Core.Ledger.Window+2*s.Core.Ledger.MaxSkew, s.Core.Retention; w > r {
 		message := fmt.Sprintf("window and twice max_skew are %s, more than the log's retention of %s", w, r)
 		c.fault("ledger", "window", message)
--- /dev/null
+++ b/flow/pool.go
@@ -0,0 +1,130 @@
+package flow
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"teaselplank/budget"
+	"teaselplank/fleet"
+	"teaselplank/place"
+)
+
+// A pool is the upstreams of a service.
+type pool struct {
+	upstreams []*upstream
+	byID      map[string]*upstream
+	meter     budget.Meter
+}
+
+// An upstream is what the node knows of one upstream.
+type upstream struct {
+	fleet.Upstream
+	// flight is the number of this node's requests there, and unread the
+	// prompt tokens of those that it has not begun to answer.
+	flight int
+	unread int
+	// load is what the upstream last said of itself, as of heard, when this
+	// node had flightThen requests there.
+	load       Load
+	heard      time.Time
+	flightThen int
+	latency    time.Duration
+	failures   float64
+	// broken counts the failures in a row, for which the upstream is passed over
+	// until suspectUntil.
+	broken       int
+	suspectUntil time.Time
+}
+
+const (
+	// loadLife is the time after which a reported load counts for a third.
+	loadLife = 400 * time.Millisecond
+	// suspectFor is how long an upstream is passed over after it could not be
+	// reached; it doubles with each failure up to maxSuspect.
+	suspectFor = 300 * time.Millisecond
+	maxSuspect = 3 * time.Second
+	// fullFor is how long an upstream that had no room is passed over.
+	fullFor = 60 * time.Millisecond
+	// meanWeight is the weight of the newest value in moving means.
+	meanWeight = 0.1
+)
+
+// register takes in the upstreams. One that is known as the same process keeps
+// what is known of it.
+func (n *Node) register(upstreams []fleet.Upstream) {
+	old := n.pools
+	n.pools = make(map[string]*pool)
+	for _, u := range upstreams {
+		p := n.pools[u.Service]
+		if p == nil {
+			p = &pool{byID: make(map[string]*upstream)}
+			if before := old[u.Service]; before != nil {
+				p.meter = before.meter
+			}
+			n.pools[u.Service] = p
+		}
+		known := &upstream{}
+		if before := old[u.Service]; before != nil && before.byID[u.ID] != nil && before.byID[u.ID].Born == u.Born {
+			known = before.byID[u.ID]
+		}
+		known.Upstream = u
+		p.upstreams = append(p.upstreams, known)
+		p.byID[u.ID] = known
+	}
+}
+
+// candidates describes the upstreams of the pool that can be used, but for those
+// that were tried.
+func (p *pool) candidates(now time.Time, tried []string) []place.Candidate {
+	var found []place.Candidate
+	for _, u := range p.upstreams {
+		if u.Draining || now.Before(u.suspectUntil) || slices.Contains(tried, u.ID) {
+			continue
+		}
+		found = append(found, place.Candidate{
+			ID: u.ID, Zone: u.Zone, Slots: u.Slots, Flight: u.flight, Others: u.others(now),
+			Latency: u.latency, FailureShare: u.failures, Unread: u.unread,
+		})
+	}
+	return found
+}
+
+// others estimates the requests of other nodes: what the upstream reported, less
+// the older the report is.
+func (u *upstream) others(now time.Time) float64 {
+	if u.heard.IsZero() {
+		return 0
+	}
+	others := max(float64(u.load.Running+u.load.Waiting-u.flightThen), 0)
+	return others * math.Exp(-float64(now.Sub(u.heard))/float64(loadLife))
+}
+
+func (u *upstream) report(now time.Time, l Load) {
+	u.load, u.heard, u.flightThen = l, now, u.flight
+}
+
+func (u *upstream) succeeded(latency time.Duration) {
+	u.broken = 0
+	u.suspectUntil = time.Time{}
+	u.failures -= meanWeight * u.failures
+	u.latency = mean(u.latency, latency)
+}
+
+// failed notes a failure of an answer.
+func (u *upstream) failed() { u.failures += meanWeight * (1 - u.failures) }
+
+// suspect passes the upstream over for a while.
+func (u *upstream) suspect(now time.Time) {
+	u.failed()
+	u.broken++
+	u.suspectUntil = now.Add(min(suspectFor<<min(u.broken-1, 6), maxSuspect))
+}
+
+// mean moves a mean towards a value; a mean of 0 is not known yet.
+func mean(old, value time.Duration) time.Duration {
+	if old == 0 {
+		return value
+	}
+	return old + time.Duration(meanWeight*float64(value-old))
+}
--- /dev/null
+++ b/flow/request.go
@@ -0,0 +1,440 @@
+package flow
+
+import (
+	"net/http"
+	"time"
+
+	"teaselplank/batch"
+	"teaselplank/fleet"
+	"teaselplank/state"
+)
+
+// status is the state of a request.
+type status string
+
+const (
+	// staging requests wait for their stages.
+	staging status = "staging"
+	// sending requests are at an upstream whose answer has not begun.
+	sending status = "sending"
+	// answering requests are passing an answer on.
+	answering status = "answering"
+	ended     status = "ended"
+)
+
+type input string
+
+const (
+	stage   input = "stage"
+	send    input = "send"
+	deliver input = "deliver"
+	end     input = "end"
+)
+
+var machine = state.New("request",
+	state.Rule[status, input]{Event: stage, From: []status{staging, sending, answering}, To: staging},
+	state.Rule[status, input]{Event: send, From: []status{staging, sending, answering}, To: sending},
+	state.Rule[status, input]{Event: deliver, From: []status{sending}, To: answering},
+	state.Rule[status, input]{Event: end, From: []status{staging, sending, answering}, To: ended},
+)
+
+// A request is one request under way.
+type request struct {
+	Request
+	route   *fleet.Route
+	service string
+	account string
+	rank    int
+	status  status
+	arrived time.Time
+	// due is when the request has to be answered to be on time; late is true
+	// if that is past already.
+	due      time.Time
+	late     bool
+	deadline time.Time
+	stages   []stageState
+	// zone is where the largest results of the stages lie.
+	zone string
+	// restarts counts how often the stages were run again.
+	restarts int
+	// attempt numbers the attempts, and reached counts those that may have run.
+	attempt int
+	reached int
+	// tried are the upstreams that have had an attempt.
+	tried []string
+	// upstream has the attempt under way, or is nil; it was sent at sentAt.
+	upstream *upstream
+	sentAt   time.Time
+	unread   int
+	// ran is true if an attempt may have run that brought no whole answer.
+	ran bool
+	// opened is true once the client has a part of an answer.
+	opened    bool
+	lastEvent string
+}
+
+// A stageState is the progress of one stage.
+type stageState struct {
+	asked   bool
+	done    bool
+	freed   bool
+	results []batch.Result
+}
+
+// move follows the state machine; a step that it does not allow changes nothing.
+func (r *request) move(event input) bool {
+	next, err := machine.Next(r.status, event)
+	if err != nil {
+		return false
+	}
+	r.status = next
+	return true
+}
+
+// pieces returns the number of pieces of a stage.
+func (r *request) pieces(stage int) int {
+	if stage < len(r.Pieces) {
+		return r.Pieces[stage]
+	}
+	return 0
+}
+
+// current reports whether an event is about the attempt under way.
+func (r *request) current(attempt int) bool {
+	return r != nil && r.upstream != nil && r.attempt == attempt
+}
+
+// The pauses that clients are told where nothing better is known.
+const (
+	configPause   = 500 * time.Millisecond
+	upstreamPause = 400 * time.Millisecond
+	fullPause     = 150 * time.Millisecond
+)
+
+// arrive checks a request against the configuration and admits or refuses it.
+func (n *Node) arrive(now time.Time, q Request) {
+	n.counts.Arrived++
+	r := &request{Request: q, status: staging, arrived: now, zone: n.config.Zone, lastEvent: q.LastEvent}
+	n.requests[q.Number] = r
+	if n.table == nil {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonNoConfig, configPause)
+		return
+	}
+	r.route = n.table.Route(q.Host, q.Path)
+	if r.route == nil {
+		n.reply(now, r, http.StatusNotFound, ReasonNoRoute, 0)
+		return
+	}
+	if !n.authorize(r) {
+		n.reply(now, r, http.StatusUnauthorized, ReasonNoKey, 0)
+		return
+	}
+	r.service = r.route.Target(q.ID)
+	r.stages = make([]stageState, len(r.route.Stages))
+	n.schedule(now, r)
+	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
+	if excess := n.excess(now, r); excess > 0 {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonLate, excess)
+		return
+	}
+	n.counts.Admitted++
+	n.advance(now, r)
+}
+
+// authorize finds the account of a request.
+func (n *Node) authorize(r *request) bool {
+	r.rank = r.route.Rank
+	a := n.table.Account(r.APIKey)
+	if a == nil {
+		return r.route.Anonymous || !n.table.HasAccounts()
+	}
+	r.account = a.Name
+	if a.Rank != nil {
+		r.rank = *a.Rank
+	}
+	return true
+}
+
+// lateRank is added to the rank of requests that are late already.
+const lateRank = 3
+
+// schedule sets when a request is due and when its time is over.
+func (n *Node) schedule(now time.Time, r *request) {
+	left := r.route.Timeout
+	if r.Patience > 0 {
+		left = min(left, r.Patience)
+	}
+	r.deadline = now.Add(left)
+	n.longest[r.route.Name] = max(n.longest[r.route.Name], r.Patience)
+	spent := n.longest[r.route.Name] - r.Patience
+	r.due = now.Add(r.route.Objective - spent)
+	if r.due.Before(now.Add(n.shortest(r))) {
+		r.late = true
+		r.rank += lateRank
+		r.due = r.deadline
+	}
+}
+
+// advance runs the stages that can run, or sends the request once all are done.
+func (n *Node) advance(now time.Time, r *request) {
+	waiting := false
+	for i := range r.stages {
+		if r.pieces(i) == 0 || r.stages[i].done {
+			continue
+		}
+		waiting = true
+		if !r.stages[i].asked && n.inputsDone(r, i) {
+			n.runStage(now, r, i)
+		}
+	}
+	if !waiting {
+		n.send(now, r)
+	}
+}
+
+func (n *Node) inputsDone(r *request, stage int) bool {
+	for _, before := range r.route.Stages[stage].After {
+		if r.pieces(before) > 0 && !r.stages[before].done {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) runStage(now time.Time, r *request, i int) {
+	s := r.route.Stages[i]
+	r.stages[i].asked = true
+	job := batch.Job{
+		Ref: batch.Ref{Request: r.ID, Stage: i}, Service: s.Service, Pieces: r.pieces(i),
+		ResultBytes: s.ResultBytes, Zone: r.zone, Deadline: r.deadline, Rank: r.rank,
+		Due:   r.due.Add(-n.after(now, r, i)),
+		Begun: n.begun(r),
+	}
+	for _, before := range s.After {
+		for _, result := range r.stages[before].results {
+			job.Inputs = append(job.Inputs, result.Handle)
+		}
+	}
+	if len(job.Inputs) == 0 {
+		job.Key = r.PieceKey
+	}
+	n.emit(RunStage{Number: r.Number, Job: job})
+}
+
+// begun reports whether work was spent on the request.
+func (n *Node) begun(r *request) bool {
+	for _, s := range r.stages {
+		if s.done {
+			return true
+		}
+	}
+	return r.restarts > 0
+}
+
+func (n *Node) stageDone(now time.Time, e StageDone) {
+	r := n.requests[e.Number]
+	if r == nil || r.status != staging || r.stages[e.Stage].done {
+		return
+	}
+	s := &r.stages[e.Stage]
+	s.done, s.results = true, e.Results
+	n.settleZone(r)
+	n.freeUsed(r)
+	n.advance(now, r)
+}
+
+// settleZone moves the request to the zone where most bytes of its results lie.
+func (n *Node) settleZone(r *request) {
+	bytes := make(map[string]int64)
+	for i, s := range r.stages {
+		if s.freed {
+			continue
+		}
+		for _, result := range s.results {
+			bytes[result.Zone] += r.route.Stages[i].ResultBytes
+		}
+	}
+	for zone, sum := range bytes {
+		if sum > bytes[r.zone] || sum == bytes[r.zone] && zone < r.zone {
+			r.zone = zone
+		}
+	}
+}
+
+// freeUsed frees the results that every stage which needs them has used.
+func (n *Node) freeUsed(r *request) {
+	for i := range r.stages {
+		if !r.stages[i].done || r.stages[i].freed {
+			continue
+		}
+		used := false
+		for j, s := range r.route.Stages {
+			for _, before := range s.After {
+				if before != i || r.pieces(j) == 0 {
+					continue
+				}
+				used = r.stages[j].done
+				if !used {
+					break
+				}
+			}
+		}
+		if used {
+			n.free(r, i)
+		}
+	}
+}
+
+func (n *Node) free(r *request, stage int) {
+	s := &r.stages[stage]
+	if s.freed || len(s.results) == 0 {
+		return
+	}
+	s.freed = true
+	n.emit(Free{Jobs: []FreeJob{{Service: r.route.Stages[stage].Service, Results: s.results}}})
+}
+
+func (n *Node) freeAll(r *request) {
+	for i := range r.stages {
+		n.free(r, i)
+	}
+}
+
+// maxRestarts bounds how often the stages of a request are run again.
+const maxRestarts = 1
+
+func (n *Node) stageFailed(now time.Time, e StageFailed) {
+	r := n.requests[e.Number]
+	if r == nil || r.status != staging || r.stages[e.Stage].done {
+		return
+	}
+	if e.Reason == batch.ReasonGone && r.restarts < maxRestarts {
+		n.restart(now, r)
+		return
+	}
+	reason := ReasonStage
+	if e.Reason == batch.ReasonLate {
+		reason = ReasonLate
+	}
+	n.note(r, "stage failed", reason, "stage", e.Stage, "cause", string(e.Reason))
+	n.giveUp(now, r, reason, max(e.RetryAfter, fullPause))
+}
+
+// restart runs all stages again, since a result is lost.
+func (n *Node) restart(now time.Time, r *request) {
+	r.restarts++
+	if !r.move(stage) {
+		return
+	}
+	n.withdraw(r)
+	n.freeAll(r)
+	r.stages = make([]stageState, len(r.route.Stages))
+	n.advance(now, r)
+}
+
+func (n *Node) withdraw(r *request) {
+	var open []int
+	for i, s := range r.stages {
+		if s.asked && !s.done {
+			open = append(open, i)
+		}
+	}
+	if len(open) > 0 {
+		n.emit(Withdraw{Number: r.Number, Stages: open})
+	}
+}
+
+// giveUp ends a request that has no answer. It is told that it has not run only
+// if no attempt may have run.
+func (n *Node) giveUp(now time.Time, r *request, reason Reason, retry time.Duration) {
+	if r.opened {
+		n.cut(now, r, reason)
+		return
+	}
+	if r.ran {
+		n.reply(now, r, http.StatusBadGateway, reason, 0)
+		return
+	}
+	n.reply(now, r, http.StatusServiceUnavailable, reason, retry)
+}
+
+// spreadRetries is the span that the returns of refused clients are spread over.
+const spreadRetries = 200 * time.Millisecond
+
+func (n *Node) reply(now time.Time, r *request, status int, reason Reason, retry time.Duration) {
+	if retry > 0 {
+		retry += time.Duration(r.Number*7919%100) * spreadRetries / 100
+	}
+	n.counts.Replies[reason]++
+	n.note(r, "reply", reason, "status", status, "retry_after_ms", retry.Milliseconds(),
+		"held_ms", now.Sub(r.arrived).Milliseconds(), "attempts", r.attempt, "version", n.version())
+	n.emit(Reply{Number: r.Number, Status: status, Reason: reason, RetryAfter: retry})
+	n.end(r)
+}
+
+func (n *Node) version() int64 {
+	if n.table == nil {
+		return 0
+	}
+	return n.table.Version()
+}
+
+// end forgets a request and gives back what it holds.
+func (n *Node) end(r *request) {
+	r.move(end)
+	n.settle(r)
+	if r.route != nil {
+		n.withdraw(r)
+		n.freeAll(r)
+	}
+	delete(n.requests, r.Number)
+}
+
+// settle takes the attempt under way off its upstream.
+func (n *Node) settle(r *request) {
+	if r.upstream == nil {
+		return
+	}
+	r.upstream.flight--
+	r.upstream.unread -= r.unread
+	r.unread = 0
+	r.upstream = nil
+}
+
+func (n *Node) left(now time.Time, number uint64) {
+	r := n.requests[number]
+	if r == nil {
+		return
+	}
+	n.counts.Left++
+	n.note(r, "left", ReasonLeft, "held_ms", now.Sub(r.arrived).Milliseconds(), "status", string(r.status))
+	n.end(r)
+}
+
+func (n *Node) timedOut(now time.Time, e TimedOut) {
+	r := n.requests[e.Number]
+	if r == nil {
+		return
+	}
+	if e.Opened || r.opened {
+		n.cut(now, r, ReasonTimeout)
+		return
+	}
+	if r.ran || r.upstream != nil {
+		n.reply(now, r, http.StatusGatewayTimeout, ReasonTimeout, 0)
+		return
+	}
+	n.reply(now, r, http.StatusServiceUnavailable, ReasonTimeout, fullPause)
+}
+
+// cut breaks off an answer that the client has a part of.
+func (n *Node) cut(now time.Time, r *request, reason Reason) {
+	n.counts.Cut++
+	n.note(r, "cut", reason, "held_ms", now.Sub(r.arrived).Milliseconds())
+	n.emit(Cut{Number: r.Number, Reason: reason})
+	n.end(r)
+}
+
+func (n *Node) note(r *request, decision string, reason Reason, inputs ...any) {
+	n.emit(Noted{Note{Request: r.ID, Decision: decision, Reason: reason, Inputs: inputs}})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -248,7 +248,7 @@
 		if h.Leaving {
 			g.mark(Mark{h.ID, h.Incarnation})
 		}
-		if h.Role == roleEntry {
+		if h.Role == RoleEntry {
 			if h.Addr != g.self.Addr {
 				g.listed = append(g.listed, h.Addr)
 			}
@@ -259,7 +259,8 @@
 	g.emit(Changed{})
 }
 
-const roleEntry = "entry"
+// RoleEntry is the role of entry hosts in host lists.
+const RoleEntry = "entry"
 
 // mark notes that a host is leaving, and passes a new mark on.
 func (g *Group) mark(m Mark) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -45,7 +45,7 @@
 	}
 	var hosts []wire.Host
 	for i := range nodes {
-		hosts = append(hosts, wire.Host{ID: nodeName(i), Incarnation: "1", Role: roleEntry, Addr: nodeName(i), Zone: fmt.Sprint("zone-", i%3)})
+		hosts = append(hosts, wire.Host{ID: nodeName(i), Incarnation: "1", Role: RoleEntry, Addr: nodeName(i), Zone: fmt.Sprint("zone-", i%3)})
 	}
 	hosts = append(hosts, wire.Host{ID: "w", Incarnation: "1", Role: "upstream", Pool: "p", Addr: "w"})
 	for i := range nodes {
--- /dev/null
+++ b/member/message.go
@@ -0,0 +1,52 @@
+package member
+
+import "teaselplank/peerpb"
+
+// Message returns the digest as it is sent to another node.
+func (d Digest) Message() *peerpb.DigestMessage {
+	m := &peerpb.DigestMessage{From: d.From.message()}
+	for _, n := range d.Nodes {
+		m.Nodes = append(m.Nodes, n.message())
+	}
+	for _, k := range d.Marks {
+		m.Marks = append(m.Marks, &peerpb.MarkMessage{Host: k.Host, Incarnation: k.Incarnation})
+	}
+	return m
+}
+
+func (n Node) message() *peerpb.NodeMessage {
+	m := &peerpb.NodeMessage{
+		Id: n.ID, Incarnation: n.Incarnation, Addr: n.Addr, Zone: n.Zone, Beat: n.Beat,
+		Leaving: n.Leaving, Version: n.Version, Rates: make(map[string]float32, len(n.Rates)),
+	}
+	for key, rate := range n.Rates {
+		m.Rates[key] = float32(rate)
+	}
+	return m
+}
+
+// DigestOf returns the digest that another node has sent.
+func DigestOf(m *peerpb.DigestMessage) Digest {
+	d := Digest{From: nodeOf(m.GetFrom())}
+	for _, n := range m.GetNodes() {
+		d.Nodes = append(d.Nodes, nodeOf(n))
+	}
+	for _, k := range m.GetMarks() {
+		d.Marks = append(d.Marks, Mark{Host: k.GetHost(), Incarnation: k.GetIncarnation()})
+	}
+	return d
+}
+
+func nodeOf(m *peerpb.NodeMessage) Node {
+	n := Node{
+		ID: m.GetId(), Incarnation: m.GetIncarnation(), Addr: m.GetAddr(), Zone: m.GetZone(),
+		Beat: m.GetBeat(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
+	}
+	if len(m.GetRates()) > 0 {
+		n.Rates = make(map[string]float64, len(m.GetRates()))
+	}
+	for key, rate := range m.GetRates() {
+		n.Rates[key] = float64(rate)
+	}
+	return n
+}
--- a/peerpb/peer.twirp.go
+++ b/peerpb/peer.twirp.go
@@ -1083,6 +1083,783 @@
 	return baseServicePath(s.pathPrefix, "teaselplank.peer", "Peer")
 }
 
+// ================
+// Stages Interface
+// ================
+
+// Stages is served by every entry host that may own a stage service.
+type Stages interface {
+	// Run has a stage of a request done and waits for it. A caller that goes
+	// away takes the job back.
+	Run(context.Context, *JobMessage) (*JobReply, error)
+
+	// Release gives results up.
+	Release(context.Context, *ReleaseMessage) (*ReleaseReply, error)
+}
+
+// ======================
+// Stages Protobuf Client
+// ======================
+
+type stagesProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewStagesProtobufClient creates a Protobuf client that implements the Stages interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewStagesProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Stages {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "teaselplank.peer", "Stages")
+	urls := [2]string{
+		serviceURL + "Run",
+		serviceURL + "Release",
+	}
+
+	return &stagesProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *stagesProtobufClient) Run(ctx context.Context, in *JobMessage) (*JobReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "teaselplank.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Stages")
+	ctx = ctxsetters.WithMethodName(ctx, "Run")
+	caller := c.callRun
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JobMessage) (*JobReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JobMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JobMessage) when calling interceptor")
+					}
+					return c.callRun(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *stagesProtobufClient) callRun(ctx context.Context, in *JobMessage) (*JobReply, error) {
+	out := new(JobReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *stagesProtobufClient) Release(ctx context.Context, in *ReleaseMessage) (*ReleaseReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "teaselplank.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Stages")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseMessage) (*ReleaseReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseMessage) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *stagesProtobufClient) callRelease(ctx context.Context, in *ReleaseMessage) (*ReleaseReply, error) {
+	out := new(ReleaseReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ==================
+// Stages JSON Client
+// ==================
+
+type stagesJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewStagesJSONClient creates a JSON client that implements the Stages interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewStagesJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Stages {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "teaselplank.peer", "Stages")
+	urls := [2]string{
+		serviceURL + "Run",
+		serviceURL + "Release",
+	}
+
+	return &stagesJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *stagesJSONClient) Run(ctx context.Context, in *JobMessage) (*JobReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "teaselplank.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Stages")
+	ctx = ctxsetters.WithMethodName(ctx, "Run")
+	caller := c.callRun
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JobMessage) (*JobReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JobMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JobMessage) when calling interceptor")
+					}
+					return c.callRun(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *stagesJSONClient) callRun(ctx context.Context, in *JobMessage) (*JobReply, error) {
+	out := new(JobReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *stagesJSONClient) Release(ctx context.Context, in *ReleaseMessage) (*ReleaseReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "teaselplank.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Stages")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseMessage) (*ReleaseReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseMessage) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *stagesJSONClient) callRelease(ctx context.Context, in *ReleaseMessage) (*ReleaseReply, error) {
+	out := new(ReleaseReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Stages Server Handler
+// =====================
+
+type stagesServer struct {
+	Stages
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewStagesServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewStagesServer(svc Stages, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &stagesServer{
+		Stages:           svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *stagesServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *stagesServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// StagesPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const StagesPathPrefix = "/twirp/teaselplank.peer.Stages/"
+
+func (s *stagesServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "teaselplank.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Stages")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "teaselplank.peer.Stages" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Run":
+		s.serveRun(ctx, resp, req)
+		return
+	case "Release":
+		s.serveRelease(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *stagesServer) serveRun(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRunJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRunProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *stagesServer) serveRunJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Run")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(JobMessage)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Stages.Run
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JobMessage) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JobMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JobMessage) when calling interceptor")
+					}
+					return s.Stages.Run(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Run. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *stagesServer) serveRunProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Run")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(JobMessage)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Stages.Run
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JobMessage) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JobMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JobMessage) when calling interceptor")
+					}
+					return s.Stages.Run(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Run. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *stagesServer) serveRelease(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReleaseJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReleaseProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *stagesServer) serveReleaseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReleaseMessage)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Stages.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseMessage) (*ReleaseReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseMessage) when calling interceptor")
+					}
+					return s.Stages.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseReply and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *stagesServer) serveReleaseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReleaseMessage)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Stages.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseMessage) (*ReleaseReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseMessage) when calling interceptor")
+					}
+					return s.Stages.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseReply and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *stagesServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *stagesServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *stagesServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "teaselplank.peer", "Stages")
+}
+
 // =====
 // Utils
 // =====
@@ -1649,41 +2426,59 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 573 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x54, 0x4f, 0x6f, 0xd3, 0x4e,
-	0x14, 0x94, 0x9d, 0x38, 0x71, 0x5e, 0xf2, 0xab, 0xfa, 0x5b, 0x55, 0xd5, 0x2a, 0x40, 0xb1, 0x7c,
-	0xf2, 0x29, 0x15, 0xed, 0xa5, 0xe2, 0xd0, 0x03, 0x50, 0x2e, 0x50, 0x84, 0x96, 0x1b, 0x17, 0xb4,
-	0x8d, 0x5f, 0xd3, 0x55, 0xdc, 0xb5, 0xd9, 0x5d, 0xa7, 0x2d, 0xdf, 0x08, 0x89, 0xaf, 0x85, 0xc4,
-	0xc7, 0x40, 0xfb, 0xc7, 0x6d, 0x4a, 0xd4, 0xf6, 0x94, 0x37, 0xb3, 0xf3, 0x1c, 0xcf, 0xec, 0xc8,
-	0xf0, 0x7f, 0x83, 0xa8, 0x9a, 0xb3, 0x7d, 0xfb, 0x33, 0x6b, 0x54, 0x6d, 0x6a, 0xb2, 0x6d, 0x90,
-	0x6b, 0xac, 0x9a, 0x8a, 0xcb, 0xe5, 0xcc, 0xf2, 0xf9, 0xcf, 0x18, 0xc6, 0x9f, 0xea, 0x12, 0x4f,
-	0x51, 0x6b, 0xbe, 0x40, 0xb2, 0x05, 0xb1, 0x28, 0x69, 0x94, 0x45, 0xc5, 0x88, 0xc5, 0xa2, 0x24,
-	0x19, 0x8c, 0x85, 0x9c, 0x73, 0x25, 0xb9, 0x11, 0xb5, 0xa4, 0xb1, 0x3b, 0x58, 0xa7, 0x08, 0x81,
-	0x3e, 0x2f, 0x4b, 0x45, 0x7b, 0xee, 0xc8, 0xcd, 0x96, 0xfb, 0x51, 0x4b, 0xa4, 0x7d, 0xcf, 0xd9,
-	0xd9, 0x72, 0x67, 0xc8, 0x0d, 0x4d, 0xb2, 0xa8, 0xe8, 0x33, 0x37, 0x13, 0x0a, 0xc3, 0x0a, 0xf9,
-	0x4a, 0xc8, 0x05, 0x1d, 0x64, 0x51, 0x91, 0xb2, 0x0e, 0xda, 0x93, 0x15, 0x2a, 0x6d, 0xff, 0x73,
-	0x98, 0x45, 0x45, 0x8f, 0x75, 0x90, 0x1c, 0x43, 0xa2, 0xb8, 0x41, 0x4d, 0xd3, 0xac, 0x57, 0x8c,
-	0x0f, 0x8a, 0xd9, 0xbf, 0x9e, 0x66, 0x6b, 0x7e, 0x66, 0xcc, 0x4a, 0x4f, 0xa4, 0x51, 0x37, 0xcc,
-	0xaf, 0x4d, 0x8f, 0x00, 0xee, 0x48, 0xb2, 0x0d, 0xbd, 0x25, 0xde, 0x04, 0xc3, 0x76, 0x24, 0x3b,
-	0x90, 0xac, 0x78, 0xd5, 0xa2, 0xf3, 0x1a, 0x33, 0x0f, 0x5e, 0xc7, 0x47, 0x51, 0xfe, 0x16, 0xc6,
-	0xa7, 0x5c, 0x2d, 0xbb, 0xa8, 0x08, 0xf4, 0x2f, 0x6a, 0x6d, 0xc2, 0xae, 0x9b, 0x9f, 0x8e, 0x2b,
-	0xff, 0x15, 0xc1, 0x7f, 0xef, 0xc4, 0x02, 0xb5, 0xe9, 0x9e, 0xf3, 0x0a, 0xfa, 0xe7, 0xaa, 0xbe,
-	0x74, 0xcf, 0x19, 0x1f, 0xbc, 0x78, 0xd4, 0x0f, 0x73, 0x52, 0x72, 0x08, 0x89, 0xac, 0x4b, 0xd4,
-	0x34, 0x76, 0x19, 0x3c, 0xb1, 0xe3, 0xb5, 0x76, 0xe9, 0x92, 0xab, 0xa5, 0xa6, 0xbd, 0x87, 0x96,
-	0xd6, 0xdc, 0x31, 0xaf, 0xcd, 0xb7, 0x60, 0xf2, 0xc5, 0x70, 0x83, 0x0c, 0xbf, 0xb7, 0xa8, 0x4d,
-	0x7e, 0x04, 0x10, 0x70, 0x53, 0xb9, 0xac, 0x54, 0x5b, 0xa1, 0x76, 0xef, 0x3e, 0x61, 0x1e, 0x58,
-	0xd6, 0x86, 0xa1, 0x9d, 0xfd, 0x09, 0xf3, 0x20, 0xff, 0x1d, 0xc1, 0xd6, 0xfb, 0x5a, 0x5d, 0x71,
-	0x55, 0x86, 0x87, 0x6d, 0x94, 0x8d, 0xc2, 0x90, 0xcf, 0xe7, 0x75, 0x2b, 0x4d, 0x48, 0xae, 0x83,
-	0x64, 0x0a, 0x69, 0x23, 0x1a, 0xac, 0x84, 0xc4, 0x50, 0xb4, 0x5b, 0x6c, 0xb7, 0x34, 0xaa, 0x95,
-	0x98, 0x77, 0x7d, 0xeb, 0xa0, 0x7d, 0x11, 0x21, 0x9b, 0xd6, 0x77, 0x6e, 0xc4, 0x3c, 0x20, 0xbb,
-	0x30, 0x68, 0x14, 0x9e, 0x8b, 0x6b, 0xd7, 0xb9, 0x11, 0x0b, 0xc8, 0xf2, 0xa6, 0x5e, 0xa2, 0xd4,
-	0xae, 0x71, 0x09, 0x0b, 0xa8, 0xab, 0x48, 0x7a, 0x57, 0x91, 0x67, 0x30, 0xba, 0x12, 0xe6, 0x42,
-	0xc8, 0x6f, 0x97, 0x9a, 0x8e, 0x5c, 0x3d, 0x53, 0x4f, 0x9c, 0xea, 0xfc, 0x18, 0x26, 0xb7, 0x36,
-	0x6d, 0x46, 0xbb, 0x30, 0xe0, 0x52, 0x5f, 0xa1, 0x0a, 0x21, 0x05, 0x64, 0x79, 0x6d, 0xb8, 0x69,
-	0x7d, 0x4c, 0x09, 0x0b, 0xe8, 0xe0, 0x4f, 0x04, 0xfd, 0xcf, 0x88, 0x8a, 0x7c, 0x84, 0xf4, 0xe4,
-	0x7a, 0x7e, 0xc1, 0xe5, 0x02, 0xc9, 0xcb, 0xcd, 0xcb, 0xba, 0x57, 0xa2, 0xe9, 0x53, 0x02, 0x72,
-	0x02, 0x89, 0xbb, 0x38, 0xb2, 0xb7, 0xa9, 0x5c, 0xbf, 0xe1, 0xe9, 0xf3, 0x07, 0xcf, 0xad, 0x9b,
-	0x0f, 0x30, 0x0c, 0xee, 0x48, 0xb6, 0x29, 0xbc, 0x7f, 0xbf, 0xd3, 0xbd, 0x47, 0x14, 0x4d, 0x75,
-	0xf3, 0x66, 0xe7, 0x2b, 0x59, 0x13, 0xec, 0xfb, 0xef, 0xd5, 0xd9, 0xc0, 0x7d, 0xab, 0x0e, 0xff,
-	0x06, 0x00, 0x00, 0xff, 0xff, 0xf9, 0x4c, 0x1d, 0xe3, 0xc0, 0x04, 0x00, 0x00,
+	// 855 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0x4d, 0x8f, 0xe3, 0x44,
+	0x10, 0x95, 0xe3, 0xd8, 0x71, 0x2a, 0xd9, 0x68, 0x69, 0x2d, 0x83, 0x09, 0xb0, 0x04, 0x8b, 0x43,
+	0x4e, 0x59, 0x31, 0x7b, 0x19, 0x38, 0x2c, 0x62, 0x61, 0x38, 0xec, 0x12, 0x40, 0xbd, 0x37, 0x2e,
+	0xa3, 0x4e, 0x5c, 0x93, 0xb1, 0xe2, 0x69, 0x9b, 0xee, 0xf6, 0xcc, 0x86, 0x1f, 0xc2, 0x91, 0x3b,
+	0x12, 0x7f, 0x0b, 0x89, 0x9f, 0x81, 0xaa, 0xbb, 0x9d, 0x0f, 0x26, 0x3b, 0x23, 0x71, 0x4a, 0xbf,
+	0xd7, 0xd5, 0xed, 0x7a, 0xaf, 0xab, 0x2a, 0xf0, 0x5e, 0x8d, 0xa8, 0xea, 0xc5, 0x33, 0xfa, 0x99,
+	0xd5, 0xaa, 0x32, 0x15, 0x7b, 0x6c, 0x50, 0x68, 0x2c, 0xeb, 0x52, 0xc8, 0xf5, 0x8c, 0xf8, 0xec,
+	0xcf, 0x0e, 0x0c, 0x7e, 0xac, 0x72, 0x9c, 0xa3, 0xd6, 0x62, 0x85, 0x6c, 0x04, 0x9d, 0x22, 0x4f,
+	0x83, 0x49, 0x30, 0xed, 0xf3, 0x4e, 0x91, 0xb3, 0x09, 0x0c, 0x0a, 0xb9, 0x14, 0x4a, 0x0a, 0x53,
+	0x54, 0x32, 0xed, 0xd8, 0x8d, 0x7d, 0x8a, 0x31, 0xe8, 0x8a, 0x3c, 0x57, 0x69, 0x68, 0xb7, 0xec,
+	0x9a, 0xb8, 0xdf, 0x2a, 0x89, 0x69, 0xd7, 0x71, 0xb4, 0x26, 0x6e, 0x81, 0xc2, 0xa4, 0xd1, 0x24,
+	0x98, 0x76, 0xb9, 0x5d, 0xb3, 0x14, 0x7a, 0x25, 0x8a, 0x9b, 0x42, 0xae, 0xd2, 0x78, 0x12, 0x4c,
+	0x13, 0xde, 0x42, 0xda, 0xb9, 0x41, 0xa5, 0xe9, 0x9b, 0xbd, 0x49, 0x30, 0x0d, 0x79, 0x0b, 0xd9,
+	0x0b, 0x88, 0x94, 0x30, 0xa8, 0xd3, 0x64, 0x12, 0x4e, 0x07, 0xa7, 0xd3, 0xd9, 0x7f, 0x35, 0xcd,
+	0xf6, 0xf4, 0xcc, 0x38, 0x85, 0x9e, 0x4b, 0xa3, 0x36, 0xdc, 0x1d, 0x1b, 0x9f, 0x01, 0xec, 0x48,
+	0xf6, 0x18, 0xc2, 0x35, 0x6e, 0xbc, 0x60, 0x5a, 0xb2, 0x27, 0x10, 0xdd, 0x88, 0xb2, 0x41, 0xab,
+	0xb5, 0xc3, 0x1d, 0xf8, 0xaa, 0x73, 0x16, 0x64, 0xdf, 0xc2, 0x60, 0x2e, 0xd4, 0xba, 0xb5, 0x8a,
+	0x41, 0xf7, 0xaa, 0xd2, 0xc6, 0x9f, 0xb5, 0xeb, 0x87, 0xed, 0xca, 0xfe, 0x0a, 0xe0, 0xd1, 0x77,
+	0xc5, 0x0a, 0xb5, 0x69, 0xef, 0xf9, 0x02, 0xba, 0x97, 0xaa, 0xba, 0xb6, 0xf7, 0x0c, 0x4e, 0x3f,
+	0xb9, 0x57, 0x0f, 0xb7, 0xa1, 0xec, 0x39, 0x44, 0xb2, 0xca, 0x51, 0xa7, 0x1d, 0xeb, 0xc1, 0x03,
+	0x67, 0x5c, 0x2c, 0x1d, 0xba, 0x16, 0x6a, 0xad, 0xd3, 0xf0, 0x5d, 0x87, 0xf6, 0xd4, 0x71, 0x17,
+	0x9b, 0x8d, 0x60, 0xf8, 0xc6, 0x08, 0x83, 0x1c, 0x7f, 0x6d, 0x50, 0x9b, 0xec, 0x0c, 0xc0, 0xe3,
+	0xba, 0xb4, 0x5e, 0xa9, 0xa6, 0x44, 0x6d, 0x73, 0x1f, 0x72, 0x07, 0x88, 0x25, 0x33, 0xb4, 0x95,
+	0x3f, 0xe4, 0x0e, 0x64, 0x7f, 0x07, 0x30, 0xfa, 0xbe, 0x52, 0xb7, 0x42, 0xe5, 0xfe, 0xb2, 0x3b,
+	0xc5, 0x96, 0x42, 0x4f, 0x2c, 0x97, 0x55, 0x23, 0x8d, 0x77, 0xae, 0x85, 0x6c, 0x0c, 0x49, 0x5d,
+	0xd4, 0x58, 0x16, 0x12, 0x7d, 0xa1, 0x6d, 0x31, 0x9d, 0xd2, 0xa8, 0x6e, 0x8a, 0x65, 0x5b, 0x6f,
+	0x2d, 0xa4, 0x44, 0x0a, 0x59, 0x37, 0xae, 0xe6, 0xfa, 0xdc, 0x01, 0x76, 0x02, 0x71, 0xad, 0xf0,
+	0xb2, 0x78, 0x6b, 0x6b, 0xae, 0xcf, 0x3d, 0x22, 0xde, 0x54, 0x6b, 0x94, 0xda, 0x56, 0x5c, 0xc4,
+	0x3d, 0x6a, 0x4b, 0x24, 0xd9, 0x95, 0xc8, 0x47, 0xd0, 0xbf, 0x2d, 0xcc, 0x55, 0x21, 0x2f, 0xae,
+	0x75, 0xda, 0xb7, 0xe5, 0x99, 0x38, 0x62, 0xae, 0xb3, 0x17, 0x30, 0xdc, 0xca, 0x24, 0x8f, 0x4e,
+	0x20, 0x16, 0x52, 0xdf, 0xa2, 0xf2, 0x26, 0x79, 0x44, 0xbc, 0x36, 0xc2, 0x34, 0xce, 0xa6, 0x88,
+	0x7b, 0x44, 0x1d, 0x09, 0xaf, 0xaa, 0x45, 0x5b, 0x1d, 0x29, 0xf4, 0x94, 0xb3, 0xcb, 0x1b, 0xd5,
+	0x42, 0x52, 0xa7, 0x8d, 0x58, 0xa1, 0x3f, 0xef, 0xc0, 0xbe, 0x1b, 0xe1, 0xa1, 0x1b, 0xa4, 0xbb,
+	0xc0, 0x25, 0x6a, 0x6b, 0x53, 0xc4, 0x3d, 0x62, 0x9f, 0xc1, 0x50, 0xa1, 0x6e, 0x4a, 0x73, 0xb1,
+	0xd8, 0x50, 0x5f, 0x45, 0x56, 0xd0, 0xc0, 0x71, 0x2f, 0x89, 0x6a, 0x2d, 0x88, 0x77, 0x16, 0x9c,
+	0x40, 0x6c, 0xdd, 0x24, 0xb3, 0x42, 0x32, 0xd1, 0xa1, 0x6d, 0xe7, 0x27, 0x7b, 0x9d, 0xff, 0x3e,
+	0xc4, 0x79, 0x83, 0x3b, 0xaf, 0xa2, 0xbc, 0xc1, 0xb9, 0x66, 0x1f, 0x50, 0xf3, 0x5f, 0x1a, 0xe2,
+	0xc1, 0xf2, 0x31, 0xc1, 0xb9, 0xbd, 0x43, 0x09, 0xb9, 0x4e, 0x07, 0x36, 0x4d, 0xbb, 0x26, 0xb1,
+	0x0b, 0x5c, 0x35, 0x32, 0x1d, 0xda, 0x39, 0xe1, 0x40, 0xf6, 0x13, 0x3c, 0xe2, 0x36, 0xcd, 0xd6,
+	0xad, 0x13, 0x88, 0xaf, 0x84, 0xcc, 0x4b, 0xf4, 0x66, 0x79, 0xb4, 0x1d, 0x52, 0x9d, 0x23, 0x43,
+	0x2a, 0xdc, 0xa5, 0x9a, 0xfd, 0x11, 0x40, 0xf2, 0xaa, 0x5a, 0xb8, 0x97, 0xfb, 0x92, 0xac, 0xa7,
+	0xdb, 0xa9, 0xbe, 0xa9, 0x65, 0x3e, 0xbd, 0xdb, 0x32, 0x07, 0x9f, 0xe7, 0x6d, 0x3c, 0xe5, 0xa1,
+	0x50, 0xe8, 0xed, 0x08, 0xf0, 0x88, 0x7d, 0x0e, 0x23, 0x85, 0x46, 0x6d, 0x2e, 0xc4, 0xa5, 0x41,
+	0x45, 0xd2, 0x43, 0x2b, 0x7d, 0x68, 0xd9, 0x6f, 0x88, 0x9c, 0x6b, 0xf6, 0x21, 0x24, 0x39, 0x96,
+	0x62, 0x43, 0xfb, 0x5d, 0x37, 0xfd, 0x2c, 0x9e, 0xeb, 0xec, 0x35, 0x8c, 0x38, 0x96, 0x94, 0x45,
+	0x2b, 0xf9, 0xff, 0x67, 0x49, 0xcd, 0xed, 0x2f, 0xb3, 0x82, 0x4f, 0xff, 0x09, 0xa0, 0xfb, 0x33,
+	0xa2, 0x62, 0x3f, 0x40, 0x72, 0xfe, 0x76, 0x79, 0x25, 0xe4, 0x0a, 0xd9, 0x91, 0xeb, 0x0e, 0xe6,
+	0xd7, 0xf8, 0xa1, 0x00, 0x76, 0x0e, 0x91, 0x9d, 0x19, 0xec, 0xe9, 0xdd, 0xc8, 0xfd, 0xe1, 0x32,
+	0xfe, 0xf8, 0x9d, 0xfb, 0xf4, 0x1c, 0xaf, 0xa1, 0xe7, 0x1b, 0x8b, 0x4d, 0xee, 0x06, 0x1e, 0x8e,
+	0x96, 0xf1, 0xd3, 0x7b, 0x22, 0x48, 0xea, 0xef, 0x01, 0xc4, 0x6f, 0xa8, 0x61, 0x34, 0xfb, 0x1a,
+	0x42, 0xde, 0x48, 0x76, 0xe4, 0xe3, 0xbb, 0x36, 0x1c, 0x8f, 0x8f, 0xee, 0x6e, 0x13, 0xf3, 0x36,
+	0x1e, 0x4b, 0xec, 0xf0, 0xb9, 0x8e, 0x25, 0xb6, 0xff, 0x06, 0x2f, 0x9f, 0xfc, 0xc2, 0xf6, 0x02,
+	0x9e, 0xb9, 0xff, 0xf0, 0x45, 0x6c, 0xff, 0xbf, 0x9f, 0xff, 0x1b, 0x00, 0x00, 0xff, 0xff, 0x08,
+	0x38, 0x31, 0x8f, 0xd4, 0x07, 0x00, 0x00,
 }
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"teaselplank/batch"
+	"teaselplank/flow"
+	"teaselplank/plat"
+)
+
+// metrics are the counters of a server. All labels have few values: kinds of
+// decisions, reasons and the services of the configuration.
+type metrics struct {
+	registry  *prometheus.Registry
+	decisions *prometheus.CounterVec
+	failures  *prometheus.CounterVec
+	peers     *prometheus.CounterVec
+	reads     *prometheus.CounterVec
+	invalids  *prometheus.CounterVec
+	calls     *prometheus.HistogramVec
+}
+
+func newMetrics(s *Server) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "teaselplank_" + name, Help: help}, labels)
+	}
+	m := &metrics{
+		registry:  prometheus.NewRegistry(),
+		decisions: counter("decisions_total", "Decisions on requests.", "decision", "reason"),
+		failures:  counter("upstream_failures_total", "Calls to upstreams that failed.", "service", "step"),
+		peers:     counter("peer_failures_total", "Calls to other nodes that failed.", "call"),
+		reads:     counter("store_reads_total", "Reads of the store.", "stream", "result"),
+		invalids:  counter("invalid_records_total", "Records that could not be read.", "kind"),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "teaselplank_stage_call_seconds", Help: "Calls to workers of stages.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 1.6, 10),
+		}, []string{"service", "failure"}),
+	}
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "teaselplank_" + name, Help: help}, value)
+	}
+	m.registry.MustRegister(m.decisions, m.failures, m.peers, m.reads, m.invalids, m.calls,
+		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requests()) }),
+		gauge("config_version", "Version of the configuration in force.", func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(s.version())
+		}),
+		gauge("upstream_connections_made", "Connections made to upstreams.", func() float64 {
+			s.upstreams.mu.Lock()
+			defer s.upstreams.mu.Unlock()
+			return float64(s.upstreams.made)
+		}),
+	)
+	return m
+}
+
+func (m *metrics) decision(n flow.Note) {
+	m.decisions.WithLabelValues(n.Decision, string(n.Reason)).Inc()
+}
+
+func (m *metrics) upstreamFailure(service, step string) {
+	m.failures.WithLabelValues(service, step).Inc()
+}
+
+func (m *metrics) peerFailure(call string) { m.peers.WithLabelValues(call).Inc() }
+
+func (m *metrics) invalid(kind string) { m.invalids.WithLabelValues(kind).Inc() }
+
+func (m *metrics) store(stream plat.Stream, ok bool) {
+	result := "ok"
+	if !ok {
+		result = "failed"
+	}
+	m.reads.WithLabelValues(string(stream), result).Inc()
+}
+
+func (m *metrics) call(service, failure string, took time.Duration) {
+	m.calls.WithLabelValues(service, failure).Observe(took.Seconds())
+}
+
+// operatorHandler serves the metrics and the state dump.
+func (s *Server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /dump", s.serveDump)
+	return mux
+}
+
+// dump is the state of a node as JSON.
+type dump struct {
+	Node      string       `json:"node"`
+	Version   int64        `json:"config_version"`
+	Unready   string       `json:"unready,omitempty"`
+	Requests  int          `json:"requests"`
+	Flow      flow.Counts  `json:"flow"`
+	Batch     batch.Counts `json:"batch"`
+	Upstreams int          `json:"upstreams"`
+	Live      []string     `json:"live_nodes"`
+}
+
+func (s *Server) serveDump(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	d := dump{
+		Node: s.self.ID, Version: s.version(), Unready: s.node.Unready(), Requests: s.node.Len(),
+		Flow: s.node.Counts(), Upstreams: s.directory.Len(),
+	}
+	for _, n := range s.group.Live() {
+		d.Live = append(d.Live, n.ID)
+	}
+	encoded, err := json.Marshal(d)
+	s.mu.Unlock()
+	if err != nil {
+		http.Error(w, "state cannot be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/relay/stages.go
@@ -0,0 +1,213 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselplank/batch"
+	"teaselplank/flow"
+	"teaselplank/member"
+	"teaselplank/peerpb"
+)
+
+// maxOwners bounds the nodes that a job is given to, one after the other, when
+// owners cannot be reached.
+const maxOwners = 3
+
+// runStage has a job done by the owner of its service and returns its end. An
+// owner that cannot be reached costs a repeat: the next one takes the job.
+func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) flow.Event {
+	for range maxOwners {
+		node := s.ownerOf(job.Service)
+		if node.ID == s.self.ID {
+			e := s.owner.run(ctx, job)
+			s.step(flow.Delayed{Service: job.Service, Delay: s.owner.delay(job.Service)})
+			return stageEvent(number, job, e)
+		}
+		if e, ok := s.runRemote(ctx, node, number, job); ok {
+			return e
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return flow.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonNoWorker}
+}
+
+func stageEvent(number uint64, job batch.Job, e batch.Effect) flow.Event {
+	switch e := e.(type) {
+	case batch.Done:
+		return flow.StageDone{Number: number, Stage: job.Ref.Stage, Results: e.Results}
+	case batch.Refused:
+		return flow.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: e.Reason, RetryAfter: e.RetryAfter}
+	}
+	return flow.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonLate}
+}
+
+// ownerOf returns the node that owns a service, as this node sees it: of those
+// that take part, the one that ranks highest for the service.
+func (s *Server) ownerOf(service string) member.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := []member.Node{}
+	if !s.group.Self().Leaving {
+		candidates = append(candidates, s.self)
+	}
+	for _, p := range s.group.Peers() {
+		if p.State() == member.Live && !s.peers.avoided(p.Node().Addr) {
+			candidates = append(candidates, p.Node())
+		}
+	}
+	if len(candidates) == 0 {
+		return s.self
+	}
+	return slices.MaxFunc(candidates, func(a, b member.Node) int {
+		return cmp.Compare(rank(service, a.ID), rank(service, b.ID))
+	})
+}
+
+func rank(service, node string) uint64 { return xxhash.Sum64String(service + "\x00" + node) }
+
+// runRemote has a job done by another node; ok is false if that could not be
+// reached, or fell silent.
+func (s *Server) runRemote(ctx context.Context, node member.Node, number uint64, job batch.Job) (event flow.Event, ok bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.peers.attend(node.Addr, cancel)()
+	now := s.now()
+	reply, err := s.peers.stages(node.Addr).Run(ctx, &peerpb.JobMessage{
+		Request: job.Ref.Request, Stage: int32(job.Ref.Stage), Service: job.Service, Pieces: int32(job.Pieces),
+		ResultBytes: job.ResultBytes, Key: job.Key, Inputs: job.Inputs, Zone: job.Zone,
+		DueMs: job.Due.Sub(now).Milliseconds(), LeftMs: job.Deadline.Sub(now).Milliseconds(),
+		Rank: int32(job.Rank), Begun: job.Begun,
+	})
+	if err != nil {
+		s.metrics.peerFailure("run")
+		s.logger.Info("owner failed", "request", job.Ref.Request, "service", job.Service, "owner", node.ID, "error", err.Error())
+		if ctx.Err() == nil {
+			s.peers.avoid(node.Addr)
+		}
+		return nil, false
+	}
+	s.step(flow.Delayed{Service: job.Service, Delay: milliseconds(reply.GetDelayMs())})
+	if len(reply.GetResults()) == 0 {
+		return flow.StageFailed{
+			Number: number, Stage: job.Ref.Stage, Reason: batch.Reason(reply.GetReason()),
+			RetryAfter: milliseconds(reply.GetRetryAfterMs()),
+		}, true
+	}
+	return flow.StageDone{Number: number, Stage: job.Ref.Stage, Results: resultsOf(reply.GetResults())}, true
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func resultsOf(messages []*peerpb.ResultMessage) []batch.Result {
+	results := make([]batch.Result, len(messages))
+	for i, m := range messages {
+		results[i] = batch.Result{Handle: m.GetHandle(), Addr: m.GetAddr(), Zone: m.GetZone()}
+	}
+	return results
+}
+
+func resultMessages(results []batch.Result) []*peerpb.ResultMessage {
+	messages := make([]*peerpb.ResultMessage, len(results))
+	for i, r := range results {
+		messages[i] = &peerpb.ResultMessage{Handle: r.Handle, Addr: r.Addr, Zone: r.Zone}
+	}
+	return messages
+}
+
+// stageService implements peerpb.Stages for other nodes.
+type stageService struct{ server *Server }
+
+// Run has a stage of another node's request done.
+func (t stageService) Run(ctx context.Context, m *peerpb.JobMessage) (*peerpb.JobReply, error) {
+	s := t.server
+	now := s.now()
+	job := batch.Job{
+		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage())}, Service: m.GetService(),
+		Pieces: int(m.GetPieces()), ResultBytes: m.GetResultBytes(), Key: m.GetKey(), Inputs: m.GetInputs(),
+		Zone: m.GetZone(), Due: now.Add(milliseconds(m.GetDueMs())), Deadline: now.Add(milliseconds(m.GetLeftMs())),
+		Rank: int(m.GetRank()), Begun: m.GetBegun(),
+	}
+	reply := &peerpb.JobReply{}
+	switch e := s.owner.run(ctx, job).(type) {
+	case batch.Done:
+		reply.Results = resultMessages(e.Results)
+	case batch.Refused:
+		reply.Reason, reply.RetryAfterMs = string(e.Reason), e.RetryAfter.Milliseconds()
+	default:
+		reply.Reason = string(batch.ReasonLate)
+	}
+	reply.DelayMs = s.owner.delay(job.Service).Milliseconds()
+	return reply, nil
+}
+
+// Release gives results up.
+func (t stageService) Release(_ context.Context, m *peerpb.ReleaseMessage) (*peerpb.ReleaseReply, error) {
+	if len(m.GetResults()) > 0 {
+		t.server.owner.step(batch.Release{Results: resultsOf(m.GetResults())})
+	}
+	return &peerpb.ReleaseReply{}, nil
+}
+
+// releases gathers results to be freed, so that one call to an owner frees those
+// of many requests. The zero value is empty.
+type releases struct {
+	mu        sync.Mutex
+	byService map[string][]batch.Result
+}
+
+func (r *releases) add(jobs []flow.FreeJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byService == nil {
+		r.byService = make(map[string][]batch.Result)
+	}
+	for _, j := range jobs {
+		r.byService[j.Service] = append(r.byService[j.Service], j.Results...)
+	}
+}
+
+func (r *releases) take() map[string][]batch.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.byService
+	r.byService = nil
+	return taken
+}
+
+const (
+	// releaseEvery is how long results to be freed are gathered.
+	releaseEvery = 25 * time.Millisecond
+	// releaseTimeout bounds a call that passes them to their owner.
+	releaseTimeout = time.Second
+)
+
+// releaseLoop passes the results to be freed to their owners.
+func (s *Server) releaseLoop() {
+	for s.sleep(releaseEvery) {
+		for service, results := range s.releases.take() {
+			go s.release(service, results)
+		}
+	}
+}
+
+func (s *Server) release(service string, results []batch.Result) {
+	node := s.ownerOf(service)
+	if node.ID == s.self.ID {
+		s.owner.step(batch.Release{Results: results})
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.context, releaseTimeout)
+	defer cancel()
+	if _, err := s.peers.stages(node.Addr).Release(ctx, &peerpb.ReleaseMessage{Results: resultMessages(results)}); err != nil {
+		// The results expire by themselves.
+		s.metrics.peerFailure("release")
+	}
+}
--- /dev/null
+++ b/relay/watch.go
@@ -0,0 +1,361 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"teaselplank/batch"
+	"teaselplank/fleet"
+	"teaselplank/flow"
+	"teaselplank/member"
+	"teaselplank/plat"
+)
+
+const (
+	// configWait is how long a read waits for a change of the configuration.
+	configWait = 15 * time.Second
+	// upstreamWait is the same for the upstreams, whose entries are written
+	// all the time, and upstreamPace is the least time between two reads.
+	upstreamWait = 2 * time.Second
+	upstreamPace = 450 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a read that failed.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = 900 * time.Millisecond
+	// lostAfter is from when the store counts as away, and peers are asked for
+	// what they know.
+	lostAfter = 1200 * time.Millisecond
+	askEvery  = time.Second
+	// memberEvery is the pace of the group's clock, sweepEvery that of looking
+	// for connections to close, and nodesEvery that of reading the other nodes
+	// from the store.
+	memberEvery = 100 * time.Millisecond
+	sweepEvery  = time.Second
+	nodesEvery  = 20 * time.Second
+)
+
+// watch starts the loops that keep the node's beliefs up to date.
+func (s *Server) watch() {
+	go s.follow(plat.StreamConfig, configWait, 0, s.takeConfig)
+	go s.follow(plat.StreamUpstreams, upstreamWait, upstreamPace, s.takeUpstreams)
+	go s.followNodes()
+	go s.memberLoop()
+	go s.releaseLoop()
+	go s.sweepLoop()
+}
+
+// sleep waits and reports whether the server is still open.
+func (s *Server) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-s.context.Done():
+		return false
+	}
+}
+
+// A watcher knows how the reading of the store goes. The zero value has read
+// nothing.
+type watcher struct {
+	// read is when a read last succeeded, and lost whether one has failed since.
+	read time.Time
+	lost bool
+}
+
+// follow reads a stream for as long as the server is open. What it reads is given
+// to take: all newest records at first and after a gap, changes otherwise.
+func (s *Server) follow(stream plat.Stream, wait, pace time.Duration, take func(records []plat.KeyedRecord, all bool)) {
+	next, known := int64(0), false
+	pause := retryLeast
+	for s.context.Err() == nil {
+		var records []plat.KeyedRecord
+		var err error
+		all := !known
+		if all {
+			records, next, err = s.newest(stream)
+		} else {
+			var after int64
+			if records, after, err = s.registry.Changes(s.context, stream, next, wait); err == nil {
+				next = after
+			}
+		}
+		s.heardStore(stream, err)
+		switch {
+		case errors.Is(err, plat.ErrDropped):
+			known = false
+		case err != nil:
+			s.sleep(pause)
+			pause = min(2*pause, retryMost)
+		default:
+			known = true
+			pause = retryLeast
+			if all || len(records) > 0 {
+				take(records, all)
+			}
+			s.sleep(pace)
+		}
+	}
+}
+
+// newestTimeout bounds the reading of all newest records.
+const newestTimeout = 4 * time.Second
+
+func (s *Server) newest(stream plat.Stream) ([]plat.KeyedRecord, int64, error) {
+	ctx, cancel := context.WithTimeout(s.context, newestTimeout)
+	defer cancel()
+	return s.registry.Newest(ctx, stream)
+}
+
+// heardStore notes how a read of the store went, and logs when it is lost and
+// regained.
+func (s *Server) heardStore(stream plat.Stream, err error) {
+	now := s.now()
+	ok := err == nil || errors.Is(err, plat.ErrDropped)
+	s.metrics.store(stream, ok)
+	s.mu.Lock()
+	w := s.watchers[stream]
+	if w == nil {
+		w = &watcher{read: now}
+		s.watchers[stream] = w
+	}
+	away, wasLost := now.Sub(w.read), w.lost
+	w.lost = !ok
+	if ok {
+		w.read = now
+		if wasLost && stream == plat.StreamUpstreams {
+			s.directory.StoreReturned(now)
+		}
+	}
+	s.mu.Unlock()
+	switch {
+	case !ok && !wasLost:
+		s.logger.Warn("store lost", "stream", string(stream), "error", err.Error())
+	case ok && wasLost:
+		s.logger.Info("store regained", "stream", string(stream), "away_ms", away.Milliseconds())
+	}
+}
+
+// storeAway reports whether the upstreams cannot be read from the store. The lock
+// must be held.
+func (s *Server) storeAway() bool {
+	w := s.watchers[plat.StreamUpstreams]
+	return w == nil || w.lost && s.now().Sub(w.read) > lostAfter
+}
+
+// takeConfig takes in records of the configuration.
+func (s *Server) takeConfig(records []plat.KeyedRecord, _ bool) {
+	for _, r := range records {
+		if r.Key == plat.KeyConfig && len(r.Value) > 0 {
+			s.configure(r.Value, "store")
+		}
+	}
+}
+
+// configure puts a configuration in force, if it is newer than the one that is.
+func (s *Server) configure(document []byte, source string) {
+	config, err := s.protocol.ParseConfig(document)
+	if err != nil {
+		s.logger.Error("configuration is not valid", "source", source, "error", err.Error())
+		s.metrics.invalid("config")
+		return
+	}
+	table := fleet.NewTable(config)
+	s.mu.Lock()
+	before := s.version()
+	if config.Version <= before {
+		s.mu.Unlock()
+		return
+	}
+	s.config = document
+	s.node.Step(s.now(), flow.Configured{Table: table})
+	s.mu.Unlock()
+	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
+	s.upstreamsChanged()
+	s.memberStep(member.Told{Version: config.Version})
+}
+
+// takeUpstreams takes in entries of upstreams. An entry that cannot be read names
+// no upstream; one that could be read before is gone.
+func (s *Server) takeUpstreams(records []plat.KeyedRecord, all bool) {
+	now := s.now()
+	var found []fleet.Upstream
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		u, err := s.protocol.ParseUpstream(r.Key, r.Value)
+		if err != nil {
+			s.metrics.invalid("upstream")
+			continue
+		}
+		found = append(found, u)
+	}
+	s.mu.Lock()
+	s.registered = true
+	before := s.directory.Len()
+	marks := s.leaving(found)
+	changed := false
+	if all {
+		changed = s.directory.Replace(now, found)
+	} else {
+		changed = s.apply(now, records, found)
+	}
+	after := s.directory.Len()
+	s.mu.Unlock()
+	for _, m := range marks {
+		s.logger.Info("upstream leaves", "upstream", m.Host, "born", m.Incarnation, "source", "store")
+		s.memberStep(member.Seen{Mark: m})
+	}
+	if changed {
+		s.logger.Info("upstreams changed", "count", after, "before", before, "whole", all)
+		s.upstreamsChanged()
+	}
+}
+
+// apply takes in changes in their order. The lock must be held.
+func (s *Server) apply(now time.Time, records []plat.KeyedRecord, found []fleet.Upstream) bool {
+	changed := false
+	for _, r := range records {
+		if len(found) > 0 && found[0].ID == r.Key && len(r.Value) > 0 {
+			changed = s.directory.Put(found[0]) || changed
+			found = found[1:]
+			continue
+		}
+		changed = s.directory.Remove(now, r.Key) || changed
+	}
+	return changed
+}
+
+// leaving returns the marks of upstreams that say they leave, as far as that is
+// news. The lock must be held.
+func (s *Server) leaving(found []fleet.Upstream) []member.Mark {
+	var marks []member.Mark
+	for _, u := range found {
+		known, ok := s.directory.Get(u.ID)
+		if u.Draining && (!ok || !known.Draining) {
+			marks = append(marks, member.Mark{Host: u.ID, Incarnation: strconv.FormatInt(u.Born, 10)})
+		}
+	}
+	return marks
+}
+
+func parseBorn(incarnation string) (int64, error) { return strconv.ParseInt(incarnation, 10, 64) }
+
+// upstreamsChanged gives the reducers the upstreams as they are now.
+func (s *Server) upstreamsChanged() {
+	s.mu.Lock()
+	upstreams := s.directory.All()
+	var services []fleet.Service
+	if t := s.node.Table(); t != nil {
+		services = t.Services()
+	}
+	s.node.Step(s.now(), flow.Registered{Upstreams: upstreams})
+	s.mu.Unlock()
+	s.owner.step(batch.Workers{Services: services, Upstreams: upstreams})
+}
+
+// memberLoop lets the group act on the time, and asks peers while the store is
+// away.
+func (s *Server) memberLoop() {
+	asked := s.now()
+	for s.sleep(memberEvery) {
+		s.memberStep(member.Tick{})
+		now := s.now()
+		s.mu.Lock()
+		changed := s.directory.Expire(now)
+		away := s.storeAway()
+		var peer string
+		if peers := s.group.Peers(); away && len(peers) > 0 && now.Sub(asked) >= askEvery {
+			asked = now
+			peer = peers[int(now.UnixNano()/int64(askEvery))%len(peers)].Node().Addr
+		}
+		s.mu.Unlock()
+		if changed {
+			s.upstreamsChanged()
+		}
+		if peer != "" {
+			go s.fetch(peer)
+		}
+	}
+}
+
+// sweepLoop closes connections that are not used any more.
+func (s *Server) sweepLoop() {
+	for s.sleep(sweepEvery) {
+		s.upstreams.sweep(func(id string, born int64) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			u, ok := s.directory.Get(id)
+			return ok && u.Born == born
+		})
+	}
+}
+
+// followNodes tells the store where this node is, and learns of the others. Nodes
+// that know each other tell the rest by gossip.
+func (s *Server) followNodes() {
+	pause := retryLeast
+	told := false
+	for s.context.Err() == nil && !s.stopped.Load() {
+		err := error(nil)
+		if !told {
+			err = s.tellSelf()
+			told = err == nil
+		}
+		if err == nil {
+			err = s.readNodes()
+		}
+		if err != nil {
+			s.sleep(pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryLeast
+		s.sleep(nodesEvery)
+	}
+}
+
+func (s *Server) tellSelf() error {
+	value, err := json.Marshal(s.self)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.context, newestTimeout)
+	defer cancel()
+	return s.registry.Put(ctx, plat.StreamNodes, plat.KeyedRecord{Key: s.self.ID, Value: value})
+}
+
+func (s *Server) readNodes() error {
+	records, _, err := s.newest(plat.StreamNodes)
+	if err != nil {
+		return err
+	}
+	var nodes []member.Node
+	for _, r := range records {
+		var n member.Node
+		if err := json.Unmarshal(r.Value, &n); err != nil {
+			s.metrics.invalid("node")
+			continue
+		}
+		if n.ID != s.self.ID {
+			nodes = append(nodes, n)
+		}
+	}
+	s.memberStep(listed(nodes))
+	return nil
+}
+
+// leaveTimeout bounds the removal of the node's own entry.
+const leaveTimeout = time.Second
+
+// leaveRegistry removes the node's entry.
+func (s *Server) leaveRegistry() {
+	ctx, cancel := context.WithTimeout(s.context, leaveTimeout)
+	defer cancel()
+	if err := s.registry.Put(ctx, plat.StreamNodes, plat.KeyedRecord{Key: s.self.ID}); err != nil {
+		// Others find out that the node is gone by themselves.
+		s.logger.Warn("entry of the node is not removed", "error", err.Error())
+	}
+}
--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -133,7 +133,7 @@
 			}
 			size := 0
 			for b.Loop() {
-				data, err := proto.Marshal(messageOf(g.Digest()))
+				data, err := proto.Marshal(g.Digest().Message())
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/server/peers.go
+++ b/server/peers.go
@@ -98,12 +98,12 @@
 
 // Exchange takes in a digest and returns the node's own.
 func (p peerService) Exchange(_ context.Context, m *peerpb.DigestMessage) (*peerpb.DigestMessage, error) {
-	p.server.Post(member.Heard{Digest: digestOf(m)})
+	p.server.Post(member.Heard{Digest: member.DigestOf(m)})
 	var own member.Digest
 	if !p.server.Query(func(n *core.Node) { own = n.Group().Digest() }) {
 		return nil, twirp.NewError(twirp.Unavailable, "node is closed")
 	}
-	return messageOf(own), nil
+	return own.Message(), nil
 }
 
 // State returns the rules and the host list.
@@ -157,12 +157,12 @@
 func (s *Server) gossip(e member.Gossip) {
 	ctx, cancel := context.WithTimeout(s.context, gossipTimeout)
 	defer cancel()
-	m, err := s.peers.at(e.Addr).Exchange(ctx, messageOf(e.Digest))
+	m, err := s.peers.at(e.Addr).Exchange(ctx, e.Digest.Message())
 	if err != nil {
 		s.metrics.peerFailure("exchange")
 		return
 	}
-	s.Post(member.Heard{Digest: digestOf(m)})
+	s.Post(member.Heard{Digest: member.DigestOf(m)})
 }
 
 // fetchState brings what a peer knows.
@@ -206,50 +206,3 @@
 	answer.Request = c.ID
 	s.Post(core.Forwarded{ID: c.ID, Answer: answer, Status: int(m.GetStatus())})
 }
-
-func messageOf(d member.Digest) *peerpb.DigestMessage {
-	m := &peerpb.DigestMessage{From: nodeMessage(d.From)}
-	for _, n := range d.Nodes {
-		m.Nodes = append(m.Nodes, nodeMessage(n))
-	}
-	for _, k := range d.Marks {
-		m.Marks = append(m.Marks, &peerpb.MarkMessage{Host: k.Host, Incarnation: k.Incarnation})
-	}
-	return m
-}
-
-func nodeMessage(n member.Node) *peerpb.NodeMessage {
-	m := &peerpb.NodeMessage{
-		Id: n.ID, Incarnation: n.Incarnation, Addr: n.Addr, Zone: n.Zone, Beat: n.Beat,
-		Leaving: n.Leaving, Version: n.Version, Rates: make(map[string]float32, len(n.Rates)),
-	}
-	for key, rate := range n.Rates {
-		m.Rates[key] = float32(rate)
-	}
-	return m
-}
-
-func digestOf(m *peerpb.DigestMessage) member.Digest {
-	d := member.Digest{From: nodeOf(m.GetFrom())}
-	for _, n := range m.GetNodes() {
-		d.Nodes = append(d.Nodes, nodeOf(n))
-	}
-	for _, k := range m.GetMarks() {
-		d.Marks = append(d.Marks, member.Mark{Host: k.GetHost(), Incarnation: k.GetIncarnation()})
-	}
-	return d
-}
-
-func nodeOf(m *peerpb.NodeMessage) member.Node {
-	n := member.Node{
-		ID: m.GetId(), Incarnation: m.GetIncarnation(), Addr: m.GetAddr(), Zone: m.GetZone(),
-		Beat: m.GetBeat(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
-	}
-	if len(m.GetRates()) > 0 {
-		n.Rates = make(map[string]float64, len(m.GetRates()))
-	}
-	for key, rate := range m.GetRates() {
-		n.Rates[key] = float64(rate)
-	}
-	return n
-}
--- a/server/peers_test.go
+++ b/server/peers_test.go
@@ -25,7 +25,7 @@
 		Nodes: []member.Node{{ID: "b", Beat: 1}},
 		Marks: []member.Mark{{Host: "w", Incarnation: "2"}},
 	}
-	if got := digestOf(messageOf(d)); !reflect.DeepEqual(got, d) {
+	if got := member.DigestOf(d.Message()); !reflect.DeepEqual(got, d) {
 		t.Errorf("digest is %+v, want %+v", got, d)
 	}
 }
@@ -43,8 +43,8 @@
 		}
 	})
 	t.Run("exchange", func(t *testing.T) {
-		m, err := peer.Exchange(context.Background(), messageOf(member.Digest{From: member.Node{ID: "other", Incarnation: "1", Addr: "127.0.0.1:9", Beat: 1}}))
-		if err != nil || digestOf(m).From.ID != "n" || digestOf(m).From.Version != 1 {
+		m, err := peer.Exchange(context.Background(), member.Digest{From: member.Node{ID: "other", Incarnation: "1", Addr: "127.0.0.1:9", Beat: 1}}.Message())
+		if err != nil || member.DigestOf(m).From.ID != "n" || digestOf(m).From.Version != 1 {
 			t.Errorf("answer is %+v, %v", m, err)
 		}
 	})
