--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestRoute(t *testing.T) {
+	table := NewTable(Config{Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.example:80", "/x/y", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/", ""},
+	} {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			got := ""
+			if r := table.Route(c.host, c.path); r != nil {
+				got = r.Name
+			}
+			if got != c.want {
+				t.Errorf("route is %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestTarget(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	counts := make(map[string]int)
+	for i := range 2000 {
+		id := string(rune('a'+i%26)) + start.Add(time.Duration(i)).String()
+		counts[r.Target(id)]++
+		if r.Target(id) != r.Target(id) {
+			t.Fatalf("request %q has two services", id)
+		}
+	}
+	if counts["b"] < 120 || counts["b"] > 280 {
+		t.Errorf("%d of 2000 requests go to the service with a tenth of the weight", counts["b"])
+	}
+}
+
+func TestDirectory(t *testing.T) {
+	u := Upstream{ID: "u", Born: 5, Seq: 3, Addr: "10.0.0.1:1"}
+	t.Run("entry goes", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Remove(start, "u")
+		wantKnown(t, &d, "u", false)
+	})
+	t.Run("entry lapses while the store is away", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.StoreReturned(start)
+		d.Remove(start, "u")
+		wantKnown(t, &d, "u", true)
+		d.Put(u)
+		d.Expire(start.Add(time.Minute))
+		wantKnown(t, &d, "u", true)
+	})
+	t.Run("entry lapses and does not come back", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.StoreReturned(start)
+		d.Remove(start, "u")
+		d.Expire(start.Add(lapseGrace))
+		wantKnown(t, &d, "u", false)
+	})
+	t.Run("entry of an older process", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		old := u
+		old.Born, old.Addr = 4, "10.0.0.2:1"
+		d.Put(old)
+		if got, _ := d.Get("u"); got.Addr != u.Addr {
+			t.Errorf("address is %q, want %q", got.Addr, u.Addr)
+		}
+	})
+	t.Run("leaving is not taken back", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Drain("u", 5)
+		d.Put(u)
+		if got, _ := d.Get("u"); !got.Draining {
+			t.Error("upstream is not draining any more")
+		}
+	})
+	t.Run("a new process of a draining one", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Drain("u", 5)
+		next := u
+		next.Born, next.Seq = 6, 0
+		d.Put(next)
+		if got, _ := d.Get("u"); got.Draining {
+			t.Error("the new process is draining")
+		}
+	})
+	t.Run("heartbeat changes nothing", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		next := u
+		next.Seq = 4
+		if d.Put(next) {
+			t.Error("a heartbeat counts as a change")
+		}
+	})
+	t.Run("all entries at once", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Replace(start, []Upstream{{ID: "v"}})
+		wantKnown(t, &d, "u", false)
+		wantKnown(t, &d, "v", true)
+	})
+}
+
+func wantKnown(t *testing.T, d *Directory, id string, want bool) {
+	t.Helper()
+	if _, got := d.Get(id); got != want {
+		t.Errorf("upstream %q is known: %v, want %v", id, got, want)
+	}
+}
--- /dev/null
+++ b/flow/flow_test.go
@@ -0,0 +1,322 @@
+package flow
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"teaselplank/batch"
+	"teaselplank/budget"
+	"teaselplank/fleet"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// testConfig has a route of each kind.
+func testConfig() fleet.Config {
+	stage := func(name string) fleet.Service {
+		return fleet.Service{Name: name, Batch: &fleet.Batch{
+			Running: 1, MaxItems: 10, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
+		}}
+	}
+	return fleet.Config{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: fleet.Safe, Targets: []fleet.Target{{Service: "desk", Weight: 1}},
+				Timeout: time.Second, Objective: 300 * time.Millisecond, Attempts: 2},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: fleet.Unsafe, Targets: []fleet.Target{{Service: "desk", Weight: 1}},
+				Timeout: time.Second, Objective: 300 * time.Millisecond, Attempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: fleet.Stream, Targets: []fleet.Target{{Service: "engine", Weight: 1}},
+				Timeout: 6 * time.Second, Objective: 1800 * time.Millisecond, Attempts: 2, Resumable: true,
+				Stages: []fleet.Stage{{Service: "first", ResultBytes: 100}, {Service: "second", After: []int{0}, ResultBytes: 10}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: fleet.Safe, Targets: []fleet.Target{{Service: "desk", Weight: 1}},
+				Timeout: time.Second, Objective: time.Second, Attempts: 1, Anonymous: true},
+		},
+		Services: []fleet.Service{{Name: "desk"}, {Name: "engine", Engine: true}, stage("first"), stage("second")},
+		Accounts: []fleet.Account{{Name: "account", Keys: []string{"key"}}},
+	}
+}
+
+// A rig drives a node.
+type rig struct {
+	t       *testing.T
+	node    *Node
+	now     time.Time
+	number  uint64
+	effects []Effect
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, now: start}
+	r.node = New(Config{Zone: "a", Budget: budget.Config{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}})
+	r.step(Configured{Table: fleet.NewTable(testConfig())})
+	var upstreams []fleet.Upstream
+	for _, service := range []string{"desk", "engine"} {
+		for _, zone := range []string{"a", "b", "c"} {
+			upstreams = append(upstreams, fleet.Upstream{ID: service + zone, Born: 1, Service: service, Zone: zone, Slots: 4})
+		}
+	}
+	r.step(Registered{Upstreams: upstreams})
+	return r
+}
+
+func (r *rig) step(e Event) { r.effects = append([]Effect(nil), r.node.Step(r.now, e)...) }
+
+func (r *rig) arrive(path string, pieces ...int) {
+	r.number++
+	r.step(Arrive{Request{
+		Number: r.number, ID: "id", Host: "h", Path: path, APIKey: "key", Patience: 6 * time.Second, Pieces: pieces, PieceKey: "k",
+	}})
+}
+
+func (r *rig) answer(attempt, status int, notRun bool) {
+	r.step(Answered{Number: r.number, Attempt: attempt, Answer: Answer{Status: status, NotRun: notRun, Sealed: !notRun}})
+}
+
+func (r *rig) broke(attempt int, failure Failure, last string) {
+	r.step(Broke{Number: r.number, Attempt: attempt, Failure: failure, LastEvent: last, Opened: last != ""})
+}
+
+// find returns the only effect of a type.
+func find[E Effect](r *rig) E {
+	r.t.Helper()
+	var found E
+	count := 0
+	for _, e := range r.effects {
+		if e, ok := e.(E); ok {
+			found = e
+			count++
+		}
+	}
+	if count != 1 {
+		r.t.Fatalf("%d effects of type %T, want 1, among %+v", count, found, r.effects)
+	}
+	return found
+}
+
+func (r *rig) wantReply(status int, reason Reason) {
+	r.t.Helper()
+	reply := find[Reply](r)
+	if reply.Status != status || reply.Reason != reason {
+		r.t.Errorf("reply is %d %q, want %d %q", reply.Status, reply.Reason, status, reason)
+	}
+	if r.node.Len() != 0 {
+		r.t.Errorf("%d requests are left, want none", r.node.Len())
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	t.Run("no configuration", func(t *testing.T) {
+		r := &rig{t: t, now: start, node: New(Config{})}
+		r.arrive("/safe/1")
+		r.wantReply(http.StatusServiceUnavailable, ReasonNoConfig)
+	})
+	t.Run("no route", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/none/1")
+		r.wantReply(http.StatusNotFound, ReasonNoRoute)
+	})
+	t.Run("unknown key", func(t *testing.T) {
+		r := newRig(t)
+		r.step(Arrive{Request{Number: 9, Host: "h", Path: "/safe/1", APIKey: "other"}})
+		r.wantReply(http.StatusUnauthorized, ReasonNoKey)
+	})
+	t.Run("anonymous route", func(t *testing.T) {
+		r := newRig(t)
+		r.step(Arrive{Request{Number: 9, Host: "h", Path: "/open/1"}})
+		find[Send](r)
+	})
+	t.Run("older configuration", func(t *testing.T) {
+		r := newRig(t)
+		c := testConfig()
+		c.Version, c.Routes = 0, nil
+		r.step(Configured{Table: fleet.NewTable(c)})
+		r.arrive("/safe/1")
+		find[Send](r)
+	})
+	t.Run("stages that take too long", func(t *testing.T) {
+		r := newRig(t)
+		r.step(Delayed{Service: "second", Delay: 3 * time.Second})
+		r.arrive("/stream/1", 1, 1)
+		r.wantReply(http.StatusServiceUnavailable, ReasonLate)
+	})
+}
+
+// What may have run once is never sent again unless the route allows it, and is
+// never said not to have run.
+func TestAtMostOnce(t *testing.T) {
+	for _, failure := range []Failure{Broken, Crossed, Silent} {
+		t.Run(string(failure), func(t *testing.T) {
+			r := newRig(t)
+			r.arrive("/unsafe/1")
+			r.broke(1, failure, "")
+			r.wantReply(http.StatusBadGateway, ReasonBroken)
+		})
+	}
+	t.Run("error of the upstream", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/unsafe/1")
+		r.answer(1, http.StatusInternalServerError, false)
+		find[Deliver](r)
+	})
+	t.Run("time is over while it runs", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/unsafe/1")
+		r.step(TimedOut{Number: r.number})
+		r.wantReply(http.StatusGatewayTimeout, ReasonTimeout)
+	})
+	t.Run("refused", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/unsafe/1")
+		first := find[Send](r).Upstream.ID
+		r.answer(1, http.StatusServiceUnavailable, true)
+		if second := find[Send](r).Upstream.ID; second == first {
+			t.Errorf("request went to upstream %q twice", first)
+		}
+	})
+	t.Run("not reached", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/unsafe/1")
+		for attempt := 1; attempt <= 3; attempt++ {
+			find[Send](r)
+			r.broke(attempt, Unreached, "")
+		}
+		r.wantReply(http.StatusServiceUnavailable, ReasonNoUpstream)
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	t.Run("error of the upstream", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/safe/1")
+		r.answer(1, http.StatusInternalServerError, false)
+		find[Send](r)
+		r.answer(2, http.StatusInternalServerError, false)
+		find[Deliver](r)
+	})
+	t.Run("budget", func(t *testing.T) {
+		r := newRig(t)
+		repeats := 0
+		for range 60 {
+			r.arrive("/safe/1")
+			r.answer(1, http.StatusInternalServerError, false)
+			for _, e := range r.effects {
+				if _, ok := e.(Send); ok {
+					repeats++
+				}
+			}
+		}
+		if allowed := 0.2*60 + 20; float64(repeats) > allowed {
+			t.Errorf("%d repeats of 60 requests, more than %.0f", repeats, allowed)
+		}
+	})
+	t.Run("stream goes on", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1")
+		r.answer(1, http.StatusOK, false)
+		r.step(Began{Number: r.number, Attempt: 1})
+		r.broke(1, Broken, "4")
+		if s := find[Send](r); s.LastEvent != "4" {
+			t.Errorf("stream goes on after event %q, want %q", s.LastEvent, "4")
+		}
+		r.answer(2, http.StatusOK, false)
+		find[Deliver](r)
+		r.broke(2, Broken, "7")
+		find[Cut](r)
+	})
+	t.Run("event of an attempt that is over", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/safe/1")
+		r.broke(1, Broken, "")
+		r.answer(1, http.StatusOK, false)
+		if len(r.effects) != 0 {
+			t.Errorf("effects are %+v, want none", r.effects)
+		}
+	})
+}
+
+func (r *rig) stageDone(stage int, zone string, handles ...string) {
+	var results []batch.Result
+	for _, h := range handles {
+		results = append(results, batch.Result{Handle: h, Zone: zone})
+	}
+	r.step(StageDone{Number: r.number, Stage: stage, Results: results})
+}
+
+func TestStages(t *testing.T) {
+	t.Run("in their order", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1", 2, 1)
+		if job := find[RunStage](r).Job; job.Key != "k" || job.Pieces != 2 || len(job.Inputs) != 0 {
+			t.Errorf("first job is %+v", job)
+		}
+		r.stageDone(0, "b", "h1", "h2")
+		job := find[RunStage](r).Job
+		if job.Key != "" || len(job.Inputs) != 2 || job.Zone != "b" || !job.Begun {
+			t.Errorf("second job is %+v", job)
+		}
+		r.stageDone(1, "b", "h3")
+		if freed := find[Free](r).Jobs[0].Results; len(freed) != 2 {
+			t.Errorf("%d results are freed once they are used, want 2", len(freed))
+		}
+		send := find[Send](r)
+		if len(send.Inputs) != 1 || send.Inputs[0] != "h3" || send.Upstream.Zone != "b" {
+			t.Errorf("request is sent with inputs %v to zone %q", send.Inputs, send.Upstream.Zone)
+		}
+		r.answer(1, http.StatusOK, false)
+		r.step(Began{Number: r.number, Attempt: 1})
+		if freed := find[Free](r).Jobs[0].Results; len(freed) != 1 {
+			t.Errorf("%d results are freed at the first event, want 1", len(freed))
+		}
+	})
+	t.Run("left out", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1", 0, 0)
+		find[Send](r)
+	})
+	t.Run("refused by the owner", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1", 1, 1)
+		r.step(StageFailed{Number: r.number, Reason: batch.ReasonLate, RetryAfter: time.Second})
+		if reply := find[Reply](r); reply.RetryAfter < time.Second {
+			t.Errorf("client is told to come back after %s, want 1s or more", reply.RetryAfter)
+		}
+		r.wantReply(http.StatusServiceUnavailable, ReasonLate)
+	})
+	t.Run("input is lost", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1", 1, 1)
+		r.stageDone(0, "a", "h1")
+		r.step(StageFailed{Number: r.number, Stage: 1, Reason: batch.ReasonGone})
+		if job := find[RunStage](r).Job; job.Ref.Stage != 0 {
+			t.Errorf("stage %d runs, want 0", job.Ref.Stage)
+		}
+	})
+	t.Run("client leaves", func(t *testing.T) {
+		r := newRig(t)
+		r.arrive("/stream/1", 1, 1)
+		r.stageDone(0, "a", "h1")
+		r.step(Left{Number: r.number})
+		find[Withdraw](r)
+		find[Free](r)
+		if r.node.Len() != 0 {
+			t.Errorf("%d requests are left, want none", r.node.Len())
+		}
+	})
+}
+
+// An upstream that says it leaves between the choice and the sending gets nothing.
+func TestUsable(t *testing.T) {
+	r := newRig(t)
+	r.step(Registered{Upstreams: []fleet.Upstream{{ID: "deska", Born: 1, Service: "desk", Draining: true}, {ID: "deskb", Born: 2, Service: "desk"}}})
+	for _, c := range []struct {
+		id   string
+		born int64
+		want bool
+	}{{"deska", 1, false}, {"deskb", 2, true}, {"deskb", 1, false}, {"deskc", 1, false}} {
+		if got := r.node.Usable(c.id, c.born); got != c.want {
+			t.Errorf("upstream %q born %d is usable: %v, want %v", c.id, c.born, got, c.want)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -218,11 +218,8 @@
 			x.step(flow.Began{Number: x.query.Number, Attempt: a.send.Attempt})
 		}
 		x.open200(a)
-		if _, err := x.writer.Write(data); err == nil {
-			err = flush.Flush()
-		}
-		if err != nil {
-			// The client's connection failed; its context tells.
+		if !x.pass(data, flush) {
+			// The client's connection has failed: nothing is left to do for it.
 			x.cancel()
 		}
 		if id != "" {
@@ -231,6 +228,14 @@
 	}
 }
 
+// pass writes events to the client.
+func (x *exchange) pass(data []byte, flush *http.ResponseController) bool {
+	if _, err := x.writer.Write(data); err != nil {
+		return false
+	}
+	return flush.Flush() == nil
+}
+
 // silentAfter is how long the events of a resumable stream may pause before it is
 // taken up at another upstream.
 const silentAfter = 1200 * time.Millisecond
--- a/server/peers_test.go
+++ b/server/peers_test.go
@@ -44,7 +44,7 @@
 	})
 	t.Run("exchange", func(t *testing.T) {
 		m, err := peer.Exchange(context.Background(), member.Digest{From: member.Node{ID: "other", Incarnation: "1", Addr: "127.0.0.1:9", Beat: 1}}.Message())
-		if err != nil || member.DigestOf(m).From.ID != "n" || digestOf(m).From.Version != 1 {
+		if err != nil || member.DigestOf(m).From.ID != "n" || member.DigestOf(m).From.Version != 1 {
 			t.Errorf("answer is %+v, %v", m, err)
 		}
 	})
