Admit by the whole chain of stages, and free results once they are fetched

The middle stage did 13 pieces a call of 24, as its memory was full of results that waited for the call after. Ruled out: time spent on attempts before, inferred from the deadline (each client waits up to 15% less than others, so it tells nothing; that try marked 391 of 1,088 requests late that were not).

Change: one node owns all stage services; a request brings the stages that it will need, and is admitted by the predicted end of the last one, from what waits and what is coming at each. What workers get done while pieces wait is measured. Inputs are freed 60 ms after the turn of the call that fetches them; frees go at once and count only when the worker has answered.

--- /dev/null
+++ b/batch/admit.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"time"
+)
+
+// expect notes the stages that an admitted request will need.
+func (s *Scheduler) expect(j Job) {
+	for _, need := range j.Ahead {
+		p := s.pools[need.Service]
+		if p == nil {
+			continue
+		}
+		s.expectNot(Ref{j.Ref.Request, need.Stage})
+		s.coming[Ref{j.Ref.Request, need.Stage}] = need
+		p.coming += need.Pieces
+	}
+}
+
+// expectNot forgets a stage that has come, or will not come.
+func (s *Scheduler) expectNot(ref Ref) {
+	need, ok := s.coming[ref]
+	if !ok {
+		return
+	}
+	delete(s.coming, ref)
+	if p := s.pools[need.Service]; p != nil {
+		p.coming -= need.Pieces
+	}
+}
+
+// admit estimates when all stages of a request that brings its first job are done.
+// It reports whether that is in time, and otherwise after which time a request like
+// it would be. It answers load above what
+// the workers of any one stage carry: a request that would wait too long at a
+// later stage is refused before it costs the earlier ones anything.
+func (s *Scheduler) admit(now time.Time, p *pool, j Job) (done, retry time.Duration, ok bool) {
+	in := p.arrive(now, 0, j.Pieces)
+	if j.Begun {
+		return in, in, !now.Add(in).After(j.Deadline)
+	}
+	for _, need := range j.Ahead {
+		if next := s.pools[need.Service]; next != nil {
+			in = next.arrive(now, in, need.Pieces)
+		}
+	}
+	limit := j.Finish.Add(-time.Duration(j.Rank) * rankMargin)
+	if finish := now.Add(in); finish.After(limit) {
+		return in, finish.Sub(limit), false
+	}
+	return in, 0, true
+}
+
+// rankMargin is how much earlier a request of the next lower urgency is refused.
+const rankMargin = 60 * time.Millisecond
+
+// arrive estimates when pieces are done that come to the pool after a time, as a
+// time from now. The pieces before them are those that wait already and those that
+// admitted requests will bring; meanwhile the workers go on.
+func (p *pool) arrive(now time.Time, in time.Duration, pieces int) time.Duration {
+	workers := p.usable(now)
+	if len(workers) == 0 {
+		return time.Hour
+	}
+	before := p.queued("") + p.coming
+	start := in + callTime(p.batch, p.batch.MaxItems/2)/time.Duration(2*len(workers))
+	if in == 0 {
+		start = p.wait(now, workers, 0)
+	}
+	drained := time.Duration(float64(before+pieces) / p.rate(workers) * float64(time.Second))
+	start = max(start, drained-p.round())
+	items := min((before+pieces)/len(workers)+1, p.batch.MaxItems)
+	return start + callTime(p.batch, items)
+}
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/queue"
 )
 
 // A Ref names a job: one stage of one request.
@@ -34,6 +35,8 @@
 	// of others. In all others, Inputs are the results that each piece needs.
 	Key    string
 	Inputs []string
+	// OnlyUser is true if no other stage needs the inputs.
+	OnlyUser bool
 	// Zone is where the job's inputs are, or where its results are needed.
 	Zone string
 	// Due is when the job has to be done for its request to be on time.
@@ -45,6 +48,17 @@
 	// Begun is true if work was already spent on the request. Such a job is
 	// not refused only because it will be late.
 	Begun bool
+	// Ahead lists the stages that the request needs once this one is done, in
+	// their order. Finish is when the last of them has to be done.
+	Ahead  []Need
+	Finish time.Time
+}
+
+// A Need is a stage that a request will need later.
+type Need struct {
+	Stage   int
+	Service string
+	Pieces  int
 }
 
 // A Result is where the result of a piece lies.
@@ -87,6 +101,12 @@
 		Outcomes []Outcome
 		Failure  Failure
 	}
+	// Freed reports the end of a Free.
+	Freed struct {
+		Worker  string
+		Handles []string
+		OK      bool
+	}
 	// Workers brings the configuration and the upstreams of stage services.
 	Workers struct {
 		Services  []fleet.Service
@@ -100,6 +120,7 @@
 func (Withdraw) BatchEvent() {}
 func (Release) BatchEvent()  {}
 func (Returned) BatchEvent() {}
+func (Freed) BatchEvent()    {}
 func (Workers) BatchEvent()  {}
 func (Tick) BatchEvent()     {}
 
@@ -162,6 +183,15 @@
 		Ref     Ref
 		Results []Result
 	}
+	// Admitted tells on what a job was taken: the pieces before it, and when
+	// it and all that its request needs after it should be done.
+	Admitted struct {
+		Ref     Ref
+		Waiting int
+		Coming  int
+		Workers int
+		Done    time.Duration
+	}
 	// Refused ends a job without results.
 	Refused struct {
 		Ref    Ref
@@ -171,10 +201,11 @@
 	}
 )
 
-func (Call) BatchEffect()    {}
-func (Free) BatchEffect()    {}
-func (Done) BatchEffect()    {}
-func (Refused) BatchEffect() {}
+func (Call) BatchEffect()     {}
+func (Free) BatchEffect()     {}
+func (Done) BatchEffect()     {}
+func (Admitted) BatchEffect() {}
+func (Refused) BatchEffect()  {}
 
 // An Item is one piece in a call.
 type Item struct {
@@ -192,7 +223,11 @@
 	pools map[string]*pool
 	jobs  map[Ref]*job
 	// calls holds the calls under way by their number.
-	calls   map[int]*call
+	calls map[int]*call
+	// coming holds the stages that admitted requests will need.
+	coming map[Ref]Need
+	// fetched holds the jobs whose inputs are to be freed, and when.
+	fetched queue.Timers[Ref]
 	number  int
 	effects []Effect
 	counts  Counts
@@ -242,6 +277,7 @@
 		s.pools = make(map[string]*pool)
 		s.jobs = make(map[Ref]*job)
 		s.calls = make(map[int]*call)
+		s.coming = make(map[Ref]Need)
 	}
 	s.effects = nil
 	switch e := event.(type) {
@@ -253,10 +289,13 @@
 		s.release(e.Results)
 	case Returned:
 		s.returned(now, e)
+	case Freed:
+		s.freed(e)
 	case Workers:
 		s.update(now, e)
 	case Tick:
 	}
+	s.freeFetched(now)
 	for _, p := range s.pools {
 		s.pump(now, p)
 	}
@@ -289,10 +328,14 @@
 		s.refuse(&job{Job: j}, ReasonNoWorker, noWorkerPause)
 		return
 	}
-	if wait, ok := p.admit(now, j); !ok {
-		s.refuse(&job{Job: j}, ReasonLate, wait)
+	s.expectNot(j.Ref)
+	done, retry, ok := s.admit(now, p, j)
+	if !ok {
+		s.refuse(&job{Job: j}, ReasonLate, retry)
 		return
 	}
+	s.emit(Admitted{Ref: j.Ref, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now)), Done: done})
+	s.expect(j)
 	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces}
 	for i := range j.Pieces {
 		waiting.pending = append(waiting.pending, i)
@@ -313,6 +356,9 @@
 // drop ends a job and frees what it has.
 func (s *Scheduler) drop(j *job) {
 	delete(s.jobs, j.Ref)
+	for _, need := range j.Ahead {
+		s.expectNot(Ref{j.Ref.Request, need.Stage})
+	}
 	j.pending = nil
 	var made []Result
 	for _, r := range j.results {
@@ -337,14 +383,51 @@
 
 func (s *Scheduler) release(results []Result) {
 	for _, r := range results {
-		for _, p := range s.pools {
-			if w := p.byAddr[r.Addr]; w != nil {
-				w.free(r.Handle)
+		s.free(r.Handle)
+	}
+}
+
+// free notes that a result is of no use any more.
+func (s *Scheduler) free(handle string) {
+	for _, p := range s.pools {
+		for _, w := range p.workers {
+			w.free(handle)
+		}
+	}
+}
+
+func (s *Scheduler) freed(e Freed) {
+	for _, p := range s.pools {
+		for _, w := range p.workers {
+			if w.upstream.ID == e.Worker && e.OK {
+				w.forget(e.Handles)
 			}
 		}
 	}
 }
 
+// fetchTime is how long after the turn of its last call a job's inputs are kept:
+// workers fetch them before they begin to work.
+const fetchTime = 60 * time.Millisecond
+
+// freeFetched frees the inputs of jobs that have fetched them. That makes room for
+// results earlier than the end of the job, which is what binds at the highest load.
+func (s *Scheduler) freeFetched(now time.Time) {
+	for {
+		ref, ok := s.fetched.Pop(now)
+		if !ok {
+			return
+		}
+		j := s.jobs[ref]
+		if j == nil || len(j.pending) > 0 {
+			continue
+		}
+		for _, handle := range j.Inputs {
+			s.free(handle)
+		}
+	}
+}
+
 // returned takes in the end of a call.
 func (s *Scheduler) returned(now time.Time, e Returned) {
 	c := s.calls[e.Call]
@@ -359,6 +442,9 @@
 	case Broken, Unreached:
 		s.counts.Broken++
 	}
+	if e.Failure == NoFailure {
+		s.pools[c.worker.upstream.Service].finished(len(c.pieces))
+	}
 	for i, piece := range c.pieces {
 		c.worker.reserved -= piece.bytes
 		outcome := Outcome{}
@@ -395,7 +481,7 @@
 		s.refuse(j, ReasonGone, 0)
 	case o.Trouble == Expired:
 		s.counts.Expired++
-		s.refuse(j, ReasonLate, s.pools[j.Service].delay(now, j.Zone))
+		s.refuse(j, ReasonLate, s.pools[j.Service].round())
 	default:
 		j.results[p.index] = Result{Handle: o.Handle, Addr: w.upstream.Addr, Zone: w.upstream.Zone}
 		j.open--
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -17,6 +17,9 @@
 	byAddr  map[string]*worker
 	// waiting holds the jobs that have pending pieces.
 	waiting []*job
+	// coming is the number of pieces that admitted requests will bring.
+	coming int
+	pace   pace
 }
 
 // update takes in services and upstreams. Workers that go lose their results.
@@ -119,67 +122,29 @@
 	return wait + time.Duration(float64(queued/room)*float64(p.round()))
 }
 
-// delay estimates how long a small job that arrives now takes to be done.
-func (p *pool) delay(now time.Time, zone string) time.Duration {
-	workers := p.usable(now)
-	queued := p.queued("")
-	items := min(queued/max(len(workers), 1)+1, p.batch.MaxItems)
-	return p.wait(now, workers, queued) + callTime(p.batch, items)
-}
-
-// Delay estimates how long a job for a service would take now; ok is false if the
-// service is not known.
-func (s *Scheduler) Delay(now time.Time, service string) (delay time.Duration, ok bool) {
-	p := s.pools[service]
-	if p == nil {
-		return 0, false
-	}
-	return p.delay(now, ""), true
-}
-
-// admit reports whether a job will be done in time, and otherwise after which time
-// one like it would be.
-func (p *pool) admit(now time.Time, j Job) (retry time.Duration, ok bool) {
-	workers := p.usable(now)
-	queued := p.queued("")
-	items := min((queued+j.Pieces)/len(workers)+1, p.batch.MaxItems)
-	finish := now.Add(p.wait(now, workers, queued+j.Pieces) + callTime(p.batch, items))
-	limit := j.Due
-	if j.Begun {
-		limit = j.Deadline
-	} else {
-		limit = limit.Add(-time.Duration(j.Rank) * rankMargin)
-	}
-	if !finish.After(limit) {
-		return 0, true
-	}
-	return finish.Sub(limit), false
-}
-
-// rankMargin is how much earlier a job of the next lower urgency is refused.
-const rankMargin = 60 * time.Millisecond
-
-// pump sends calls to workers that are idle and drops the jobs that have become
-// hopeless.
+// pump sends calls to workers that are idle, frees results, and drops the jobs
+// that have become hopeless.
 func (s *Scheduler) pump(now time.Time, p *pool) {
+	p.measure(now)
 	s.expire(now, p)
-	if len(p.waiting) > 0 {
-		slices.SortStableFunc(p.waiting, func(a, b *job) int { return a.Due.Compare(b.Due) })
-		for _, w := range p.order(now) {
-			s.fill(now, p, w)
-		}
-		p.sweep()
-	}
 	for _, w := range p.workers {
-		if len(w.unwanted) > 0 && (w.call == nil || len(w.unwanted) >= freeBatch) {
+		if len(w.unwanted) > 0 && now.Sub(w.freedAt) >= freePace {
 			s.emit(Free{Worker: w.upstream, Handles: w.unwanted})
-			w.unwanted = nil
+			w.unwanted, w.freedAt = nil, now
 		}
 	}
+	if len(p.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(p.waiting, func(a, b *job) int { return a.Due.Compare(b.Due) })
+	for _, w := range p.order(now) {
+		s.fill(now, p, w)
+	}
+	p.sweep()
 }
 
-// freeBatch is the number of results that are freed at a busy worker together.
-const freeBatch = 8
+// freePace is the least time between two calls that free results at a worker.
+const freePace = 12 * time.Millisecond
 
 // expire refuses the jobs that cannot be done in time any more.
 func (s *Scheduler) expire(now time.Time, p *pool) {
@@ -190,7 +155,7 @@
 			limit = j.Due
 		}
 		if earliest.After(limit) && len(j.pending) > 0 {
-			s.refuse(j, ReasonLate, p.delay(now, j.Zone))
+			s.refuse(j, ReasonLate, p.round())
 		}
 	}
 	p.sweep()
@@ -299,6 +264,9 @@
 	for _, one := range c.pieces {
 		j := one.job
 		j.sent = true
+		if j.OnlyUser && len(j.Inputs) > 0 && len(j.pending) == 0 {
+			s.fetched.Add(now.Add(fetchTime), j.Ref)
+		}
 		c.worker.reserved += one.bytes
 		if j.Zone != c.worker.upstream.Zone {
 			s.counts.Crossed++
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -25,8 +25,10 @@
 	held     map[string]held
 	used     int64
 	reserved int64
-	// unwanted are held results to be freed at the worker.
+	// unwanted are held results to be freed at the worker. They take up its
+	// memory until it says that it has freed them.
 	unwanted []string
+	freedAt  time.Time
 	// probedAt is when a worker that seems slow was last tried.
 	probedAt time.Time
 }
@@ -34,6 +36,8 @@
 type held struct {
 	bytes   int64
 	expires time.Time
+	// unwanted is true once the result is to be freed.
+	unwanted bool
 }
 
 const (
@@ -119,14 +123,22 @@
 // free notes that a result is of no use any more.
 func (w *worker) free(handle string) {
 	h, ok := w.held[handle]
-	if !ok {
+	if !ok || h.unwanted {
 		return
 	}
-	delete(w.held, handle)
-	w.used -= h.bytes
+	h.unwanted = true
+	w.held[handle] = h
 	w.unwanted = append(w.unwanted, handle)
 }
 
+// forget takes the results off that the worker has freed.
+func (w *worker) forget(handles []string) {
+	for _, handle := range handles {
+		w.used -= w.held[handle].bytes
+		delete(w.held, handle)
+	}
+}
+
 // callTime returns what a call of so many pieces takes at full speed.
 func callTime(b fleet.Batch, items int) time.Duration {
 	return b.CallTime + time.Duration(items)*b.ItemTime
--- a/flow/attempt.go
+++ b/flow/attempt.go
@@ -196,6 +196,8 @@
 	r.upstream.unread -= r.unread
 	r.unread = 0
 	n.first[r.route.Name] = mean(n.first[r.route.Name], now.Sub(r.sentAt))
+	n.note(r, "answer began", "", "attempt", e.Attempt, "after_ms", now.Sub(r.sentAt).Milliseconds(),
+		"due_ms", r.due.Sub(now).Milliseconds())
 	n.freeAll(r)
 }
 
--- a/flow/event.go
+++ b/flow/event.go
@@ -91,11 +91,6 @@
 	Registered struct{ Upstreams []fleet.Upstream }
 	// Nodes brings the number of nodes that share the work.
 	Nodes struct{ Count int }
-	// Delayed brings how long a job of a stage service takes now.
-	Delayed struct {
-		Service string
-		Delay   time.Duration
-	}
 	// Stop asks to take no more requests than the front still brings.
 	Stop struct{}
 )
@@ -112,7 +107,6 @@
 func (Configured) FlowEvent()  {}
 func (Registered) FlowEvent()  {}
 func (Nodes) FlowEvent()       {}
-func (Delayed) FlowEvent()     {}
 func (Stop) FlowEvent()        {}
 
 // An Answer is the head of an upstream's answer.
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -34,11 +34,6 @@
 	table    *fleet.Table
 	pools    map[string]*pool
 	requests map[uint64]*request
-	// delays is how long a job of a stage service takes, as its owner says.
-	delays map[string]delay
-	// longest is the most patience that a client of a route has shown. What a
-	// client has less, it has spent on an attempt before.
-	longest map[string]time.Duration
 	// first is a moving mean of the time from sending to the first event.
 	first map[string]time.Duration
 	// nodes is the largest number of nodes seen, which share the budget.
@@ -55,19 +50,12 @@
 	Replies                           map[Reason]int64
 }
 
-type delay struct {
-	value time.Duration
-	heard time.Time
-}
-
 // New returns a node that knows no configuration.
 func New(config Config) *Node {
 	return &Node{
 		config:   config,
 		pools:    make(map[string]*pool),
 		requests: make(map[uint64]*request),
-		delays:   make(map[string]delay),
-		longest:  make(map[string]time.Duration),
 		first:    make(map[string]time.Duration),
 		nodes:    1,
 		counts:   Counts{Replies: make(map[Reason]int64)},
@@ -104,8 +92,6 @@
 		n.register(e.Upstreams)
 	case Nodes:
 		n.nodes = max(n.nodes, e.Count)
-	case Delayed:
-		n.delays[e.Service] = delay{e.Delay, now}
 	case Stop:
 		n.stopping = true
 	}
--- a/flow/predict.go
+++ b/flow/predict.go
@@ -1,27 +1,23 @@
 package flow
 
-import "time"
+import (
+	"time"
 
-const (
-	// delayLife is how long what an owner says of its service is believed.
-	delayLife = 2 * time.Second
-	// firstDefault is the time to the first event where none was seen yet.
-	firstDefault = 150 * time.Millisecond
+	"teaselplank/batch"
 )
 
-// stageTime estimates how long a stage takes from when its inputs are there.
-func (n *Node) stageTime(now time.Time, r *request, stage int) time.Duration {
+// firstDefault is the time to the first event of a stream where none was seen yet.
+const firstDefault = 150 * time.Millisecond
+
+// stageTime estimates how long a stage takes from when its inputs are there, if
+// calls are half full.
+func (n *Node) stageTime(r *request, stage int) time.Duration {
 	service := n.table.Service(r.route.Stages[stage].Service)
 	if service == nil || service.Batch == nil {
 		return 0
 	}
 	b := service.Batch
-	least := b.CallTime + time.Duration(min(r.pieces(stage), b.MaxItems))*b.ItemTime
-	d, ok := n.delays[service.Name]
-	if !ok || now.Sub(d.heard) > delayLife {
-		return least
-	}
-	return max(least, d.value)
+	return b.CallTime + time.Duration(b.MaxItems/2)*b.ItemTime
 }
 
 // firstTime estimates the time from sending a request to its first event.
@@ -32,50 +28,35 @@
 	return firstDefault
 }
 
-// after estimates how long a request takes once a stage is done.
-func (n *Node) after(now time.Time, r *request, stage int) time.Duration {
-	longest := n.firstTime(r)
+// after estimates how long the stages take that need a stage, once it is done.
+func (n *Node) after(r *request, stage int) time.Duration {
+	var longest time.Duration
 	for i, s := range r.route.Stages {
 		if r.pieces(i) == 0 {
 			continue
 		}
 		for _, before := range s.After {
 			if before == stage {
-				longest = max(longest, n.stageTime(now, r, i)+n.after(now, r, i))
+				longest = max(longest, n.stageTime(r, i)+n.after(r, i))
 			}
 		}
 	}
 	return longest
 }
 
-// predict estimates how long a request takes that has nothing done yet.
-func (n *Node) predict(now time.Time, r *request) time.Duration {
-	longest := time.Duration(0)
+// ahead lists the stages that need a stage, directly or through others, in their
+// order.
+func (n *Node) ahead(r *request, stage int) []batch.Need {
+	needs := make([]bool, len(r.route.Stages))
+	needs[stage] = true
+	var list []batch.Need
 	for i, s := range r.route.Stages {
-		if r.pieces(i) > 0 && len(s.After) == 0 {
-			longest = max(longest, n.stageTime(now, r, i)+n.after(now, r, i))
+		for _, before := range s.After {
+			needs[i] = needs[i] || needs[before]
 		}
-	}
-	return longest
-}
-
-// shortest is how long a request takes at the least.
-func (n *Node) shortest(r *request) time.Duration {
-	var longest time.Duration
-	for i := range r.route.Stages {
-		service := n.table.Service(r.route.Stages[i].Service)
-		if r.pieces(i) > 0 && service != nil && service.Batch != nil {
-			longest += service.Batch.CallTime
+		if i > stage && needs[i] && r.pieces(i) > 0 {
+			list = append(list, batch.Need{Stage: i, Service: s.Service, Pieces: r.pieces(i)})
 		}
 	}
-	return longest
-}
-
-// excess returns by how much a request would miss its objective, or 0 if it is
-// likely to meet it. Only stages make requests wait so long that it can be told.
-func (n *Node) excess(now time.Time, r *request) time.Duration {
-	if len(r.stages) == 0 {
-		return 0
-	}
-	return max(now.Add(n.predict(now, r)).Sub(r.due), 0)
+	return list
 }
--- a/flow/request.go
+++ b/flow/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"teaselplank/batch"
@@ -47,10 +48,8 @@
 	rank    int
 	status  status
 	arrived time.Time
-	// due is when the request has to be answered to be on time; late is true
-	// if that is past already.
+	// due is when the request has to be answered to be on time.
 	due      time.Time
-	late     bool
 	deadline time.Time
 	stages   []stageState
 	// zone is where the largest results of the stages lie.
@@ -76,6 +75,7 @@
 // A stageState is the progress of one stage.
 type stageState struct {
 	asked   bool
+	askedAt time.Time
 	done    bool
 	freed   bool
 	results []batch.Result
@@ -133,11 +133,9 @@
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.schedule(now, r)
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
-	if excess := n.excess(now, r); excess > 0 {
-		n.reply(now, r, http.StatusServiceUnavailable, ReasonLate, excess)
-		return
-	}
 	n.counts.Admitted++
+	n.note(r, "admitted", "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
+		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Patience.Milliseconds())
 	n.advance(now, r)
 }
 
@@ -155,9 +153,6 @@
 	return true
 }
 
-// lateRank is added to the rank of requests that are late already.
-const lateRank = 3
-
 // schedule sets when a request is due and when its time is over.
 func (n *Node) schedule(now time.Time, r *request) {
 	left := r.route.Timeout
@@ -165,14 +160,7 @@
 		left = min(left, r.Patience)
 	}
 	r.deadline = now.Add(left)
-	n.longest[r.route.Name] = max(n.longest[r.route.Name], r.Patience)
-	spent := n.longest[r.route.Name] - r.Patience
-	r.due = now.Add(r.route.Objective - spent)
-	if r.due.Before(now.Add(n.shortest(r))) {
-		r.late = true
-		r.rank += lateRank
-		r.due = r.deadline
-	}
+	r.due = now.Add(r.route.Objective)
 }
 
 // advance runs the stages that can run, or sends the request once all are done.
@@ -203,13 +191,14 @@
 
 func (n *Node) runStage(now time.Time, r *request, i int) {
 	s := r.route.Stages[i]
-	r.stages[i].asked = true
+	r.stages[i].asked, r.stages[i].askedAt = true, now
 	job := batch.Job{
 		Ref: batch.Ref{Request: r.ID, Stage: i}, Service: s.Service, Pieces: r.pieces(i),
 		ResultBytes: s.ResultBytes, Zone: r.zone, Deadline: r.deadline, Rank: r.rank,
-		Due:   r.due.Add(-n.after(now, r, i)),
-		Begun: n.begun(r),
+		Begun: n.begun(r), Ahead: n.ahead(r, i),
 	}
+	job.Finish = r.due.Add(-n.firstTime(r))
+	job.Due = job.Finish.Add(-n.after(r, i))
 	for _, before := range s.After {
 		for _, result := range r.stages[before].results {
 			job.Inputs = append(job.Inputs, result.Handle)
@@ -218,9 +207,22 @@
 	if len(job.Inputs) == 0 {
 		job.Key = r.PieceKey
 	}
+	job.OnlyUser = r.onlyUser(i)
 	n.emit(RunStage{Number: r.Number, Job: job})
 }
 
+// onlyUser reports whether no other stage needs what a stage needs.
+func (r *request) onlyUser(stage int) bool {
+	for i, s := range r.route.Stages {
+		for _, before := range s.After {
+			if i != stage && r.pieces(i) > 0 && slices.Contains(r.route.Stages[stage].After, before) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // begun reports whether work was spent on the request.
 func (n *Node) begun(r *request) bool {
 	for _, s := range r.stages {
@@ -239,6 +241,8 @@
 	s := &r.stages[e.Stage]
 	s.done, s.results = true, e.Results
 	n.settleZone(r)
+	n.note(r, "stage done", "", "stage", e.Stage, "pieces", len(e.Results), "zone", r.zone,
+		"took_ms", now.Sub(s.askedAt).Milliseconds(), "due_ms", r.due.Sub(now).Milliseconds())
 	n.freeUsed(r)
 	n.advance(now, r)
 }
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -66,9 +66,14 @@
 			go o.call(e)
 		case batch.Free:
 			go o.free(e)
+		case batch.Admitted:
+			o.server.logger.Info("stage admitted", "request", e.Ref.Request, "stage", e.Ref.Stage, "waiting", e.Waiting,
+				"coming", e.Coming, "workers", e.Workers, "done_ms", e.Done.Milliseconds())
 		case batch.Done:
 			o.finish(e.Ref, e)
 		case batch.Refused:
+			o.server.logger.Info("stage refused", "request", e.Ref.Request, "stage", e.Ref.Stage, "reason", string(e.Reason),
+				"retry_after_ms", e.RetryAfter.Milliseconds())
 			o.finish(e.Ref, e)
 		}
 	}
@@ -108,13 +113,6 @@
 	return o.sched.Len() > 0
 }
 
-func (o *owner) delay(service string) time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	d, _ := o.sched.Delay(o.server.now(), service)
-	return d
-}
-
 // call sends pieces to a worker and brings their ends back.
 func (o *owner) call(c batch.Call) {
 	started := time.Now()
@@ -148,10 +146,13 @@
 		o.server.logger.Error("results are not freed", "service", f.Worker.Service, "error", err.Error())
 		return
 	}
-	if _, _, _, failure := o.server.post(r, f.Worker, freeTimeout); failure != batch.NoFailure {
+	status, _, _, failure := o.server.post(r, f.Worker, freeTimeout)
+	ok := failure == batch.NoFailure && status == http.StatusOK
+	if !ok {
 		// The results expire by themselves.
 		o.server.metrics.upstreamFailure(f.Worker.Service, "free")
 	}
+	o.step(batch.Freed{Worker: f.Worker.ID, Handles: f.Handles, OK: ok})
 }
 
 // post sends a call to a worker of a stage service and reads the whole answer.
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -23,10 +23,9 @@
 // owner that cannot be reached costs a repeat: the next one takes the job.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) flow.Event {
 	for range maxOwners {
-		node := s.ownerOf(job.Service)
+		node := s.ownerOf()
 		if node.ID == s.self.ID {
 			e := s.owner.run(ctx, job)
-			s.step(flow.Delayed{Service: job.Service, Delay: s.owner.delay(job.Service)})
 			return stageEvent(number, job, e)
 		}
 		if e, ok := s.runRemote(ctx, node, number, job); ok {
@@ -49,9 +48,10 @@
 	return flow.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonLate}
 }
 
-// ownerOf returns the node that owns a service, as this node sees it: of those
-// that take part, the one that ranks highest for the service.
-func (s *Server) ownerOf(service string) member.Node {
+// ownerOf returns the node that owns the stage services, as this node sees it: of
+// those that take part, the one that ranks highest. One node owns all of them, for
+// whether a request is admitted depends on all stages that it needs.
+func (s *Server) ownerOf() member.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := []member.Node{}
@@ -67,11 +67,11 @@
 		return s.self
 	}
 	return slices.MaxFunc(candidates, func(a, b member.Node) int {
-		return cmp.Compare(rank(service, a.ID), rank(service, b.ID))
+		return cmp.Compare(rank(a.ID), rank(b.ID))
 	})
 }
 
-func rank(service, node string) uint64 { return xxhash.Sum64String(service + "\x00" + node) }
+func rank(node string) uint64 { return xxhash.Sum64String("stages\x00" + node) }
 
 // runRemote has a job done by another node; ok is false if that could not be
 // reached, or fell silent.
@@ -84,7 +84,8 @@
 		Request: job.Ref.Request, Stage: int32(job.Ref.Stage), Service: job.Service, Pieces: int32(job.Pieces),
 		ResultBytes: job.ResultBytes, Key: job.Key, Inputs: job.Inputs, Zone: job.Zone,
 		DueMs: job.Due.Sub(now).Milliseconds(), LeftMs: job.Deadline.Sub(now).Milliseconds(),
-		Rank: int32(job.Rank), Begun: job.Begun,
+		Rank: int32(job.Rank), Begun: job.Begun, Ahead: needMessages(job.Ahead), FinishMs: job.Finish.Sub(now).Milliseconds(),
+		OnlyUser: job.OnlyUser,
 	})
 	if err != nil {
 		s.metrics.peerFailure("run")
@@ -94,7 +95,6 @@
 		}
 		return nil, false
 	}
-	s.step(flow.Delayed{Service: job.Service, Delay: milliseconds(reply.GetDelayMs())})
 	if len(reply.GetResults()) == 0 {
 		return flow.StageFailed{
 			Number: number, Stage: job.Ref.Stage, Reason: batch.Reason(reply.GetReason()),
@@ -122,6 +122,14 @@
 	return messages
 }
 
+func needMessages(needs []batch.Need) []*peerpb.NeedMessage {
+	messages := make([]*peerpb.NeedMessage, len(needs))
+	for i, n := range needs {
+		messages[i] = &peerpb.NeedMessage{Stage: int32(n.Stage), Service: n.Service, Pieces: int32(n.Pieces)}
+	}
+	return messages
+}
+
 // stageService implements peerpb.Stages for other nodes.
 type stageService struct{ server *Server }
 
@@ -133,7 +141,11 @@
 		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage())}, Service: m.GetService(),
 		Pieces: int(m.GetPieces()), ResultBytes: m.GetResultBytes(), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Zone: m.GetZone(), Due: now.Add(milliseconds(m.GetDueMs())), Deadline: now.Add(milliseconds(m.GetLeftMs())),
-		Rank: int(m.GetRank()), Begun: m.GetBegun(),
+		Rank: int(m.GetRank()), Begun: m.GetBegun(), Finish: now.Add(milliseconds(m.GetFinishMs())),
+		OnlyUser: m.GetOnlyUser(),
+	}
+	for _, need := range m.GetAhead() {
+		job.Ahead = append(job.Ahead, batch.Need{Stage: int(need.GetStage()), Service: need.GetService(), Pieces: int(need.GetPieces())})
 	}
 	reply := &peerpb.JobReply{}
 	switch e := s.owner.run(ctx, job).(type) {
@@ -144,7 +156,6 @@
 	default:
 		reply.Reason = string(batch.ReasonLate)
 	}
-	reply.DelayMs = s.owner.delay(job.Service).Milliseconds()
 	return reply, nil
 }
 
@@ -199,7 +210,7 @@
 }
 
 func (s *Server) release(service string, results []batch.Result) {
-	node := s.ownerOf(service)
+	node := s.ownerOf()
 	if node.ID == s.self.ID {
 		s.owner.step(batch.Release{Results: results})
 		return
