Stand in for the users' platform, and test the whole path without the kit

Change: package platform/stand plays the store, workers of every kind with some of their faults, and the operator's configuration. Tests of relay run nodes before them on the loopback address: a request of each kind, accounts, losing, failing, crossing, shedding, tearing and doubling workers, draining, a store that is down at the start, versions that do not revert, a stop with streams under way, an owner that dies, a client that leaves. make platform-demo shows one request of each kind; make test refuses the platform's names outside platform/.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make test is what CI runs; make demo shows the system at work.
 
-.PHONY: test demo build generate bench mutants soak fuzz capacity
+.PHONY: test demo platform-demo build generate bench mutants soak fuzz capacity
 
 build:
 	go build -o bin/ ./cmd/teaselplank ./cmd/standin
@@ -11,6 +11,10 @@
 demo:
 	bash scripts/demo.sh
 
+# Shows one request of each kind on stand-ins of the users' platform.
+platform-demo:
+	bash scripts/platform-demo.sh
+
 # Needs protoc and both generators on the PATH; the output is committed.
 generate:
 	protoc --go_out=. --go_opt=module=teaselplank --twirp_out=. --twirp_opt=module=teaselplank peerpb/peer.proto
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -81,10 +81,12 @@
 
 func main() {
 	var c struct {
-		Platform platform `cmd:"" help:"Stand in for the platform's services."`
-		Upstream upstream `cmd:"" help:"Stand in for an upstream."`
-		Drive    driver   `cmd:"" help:"Make checked calls to nodes that serve stand-ins."`
-		Send     send     `cmd:"" help:"Make one HTTP request."`
+		Platform platform   `cmd:"" help:"Stand in for the platform's services."`
+		Upstream upstream   `cmd:"" help:"Stand in for an upstream."`
+		Deploy   deployment `cmd:"" help:"Stand in for the store and the workers of a deployment."`
+		Ask      ask        `cmd:"" help:"Send one request of each kind to an entry host."`
+		Drive    driver     `cmd:"" help:"Make checked calls to nodes that serve stand-ins."`
+		Send     send       `cmd:"" help:"Make one HTTP request."`
 	}
 	ctx := kong.Parse(&c, kong.Name("standin"))
 	if err := ctx.Run(); err != nil {
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,496 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselplank/budget"
+	"teaselplank/conf"
+	"teaselplank/platform"
+	"teaselplank/platform/stand"
+)
+
+// A deployment is nodes before workers, on the loopback address.
+type deployment struct {
+	t       *testing.T
+	store   *stand.Store
+	address string
+	workers map[string]*stand.Worker
+	nodes   []*testNode
+	number  int
+}
+
+type testNode struct {
+	server *Server
+	stop   context.CancelFunc
+	ended  chan error
+	addr   string
+	ready  string
+}
+
+// deploy starts a store, two workers of each service in two zones, and nodes.
+func deploy(t *testing.T, nodes int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: &stand.Store{}, workers: make(map[string]*stand.Worker)}
+	listener := httptest.NewServer(d.store)
+	t.Cleanup(listener.Close)
+	d.address = strings.TrimPrefix(listener.URL, "http://")
+	stand.Configure(d.store, 1)
+	for _, zone := range []string{"a", "b"} {
+		d.start(&stand.Worker{ID: "desk-" + zone, Service: stand.ServiceDesk, Zone: zone, Kind: stand.Plain, Slots: 4})
+		d.start(&stand.Worker{ID: "engine-" + zone, Service: stand.ServiceEngine, Zone: zone, Kind: stand.Engine, Slots: 16, Events: 6, Pace: 2 * time.Millisecond})
+		d.start(&stand.Worker{ID: "encode-" + zone, Service: stand.ServiceEncode, Zone: zone, Kind: stand.Stage, Pace: 20 * time.Millisecond})
+		d.start(&stand.Worker{ID: "rank-" + zone, Service: stand.ServiceRank, Zone: zone, Kind: stand.Stage, Pace: 20 * time.Millisecond})
+	}
+	for i := range nodes {
+		d.addNode(fmt.Sprint("node-", i))
+	}
+	for _, n := range d.nodes {
+		d.await("node is ready", func() bool { return d.isReady(n) })
+	}
+	return d
+}
+
+func (d *deployment) start(w *stand.Worker) {
+	d.t.Helper()
+	if err := w.Start(d.store); err != nil {
+		d.t.Fatal(err)
+	}
+	d.workers[w.ID] = w
+	d.t.Cleanup(w.Crash)
+}
+
+// freeAddress returns an address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) addNode(id string) *testNode {
+	d.t.Helper()
+	settings := &conf.Entry{
+		Node: id, Zone: "a", Callers: freeAddress(d.t), Ready: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
+		Store: d.address, Budget: budget.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: 6 * time.Second,
+	}
+	server, err := New(Options{
+		Settings: settings, Registry: platform.NewStore(d.address), Protocol: platform.Adapter{},
+		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{server: server, stop: stop, ended: make(chan error, 1), addr: settings.Callers, ready: settings.Ready}
+	go func() { n.ended <- server.Serve(ctx) }()
+	d.t.Cleanup(func() {
+		stop()
+		server.close()
+	})
+	d.nodes = append(d.nodes, n)
+	return n
+}
+
+func (d *deployment) isReady(n *testNode) bool {
+	r, err := http.Get("http://" + n.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (d *deployment) await(what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Fatalf("it does not come to pass that %s", what)
+}
+
+// A result is a whole answer as a client sees it.
+type result struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request of a new id to a node and returns the whole answer.
+func (d *deployment) ask(n *testNode, path string, change ...func(*http.Request)) result {
+	d.number++
+	return d.askAs(n, fmt.Sprint("id-", d.number), path, change...)
+}
+
+func (d *deployment) askAs(n *testNode, id, path string, change ...func(*http.Request)) result {
+	r, err := stand.NewRequest(n.addr, path, id)
+	if err != nil {
+		d.t.Error(err)
+		return result{}
+	}
+	for _, c := range change {
+		c(r)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{id: id, err: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+}
+
+func wantStatus(t *testing.T, r result, status int) {
+	t.Helper()
+	if r.err != nil || r.status != status {
+		t.Errorf("answer is %d %q (%v), want %d", r.status, r.body, r.err, status)
+	}
+}
+
+// wantRuns checks how often a request was run by the workers of a service.
+func (d *deployment) wantRuns(id, service string, least, most int) {
+	d.t.Helper()
+	runs := 0
+	for _, w := range d.workers {
+		if w.Service == service {
+			runs += w.Runs(id)
+		}
+	}
+	if runs < least || runs > most {
+		d.t.Errorf("request %s was run %d times by %q, want %d to %d", id, runs, service, least, most)
+	}
+}
+
+func (d *deployment) breakAll(service string, f stand.Fault) {
+	for _, w := range d.workers {
+		if w.Service == service {
+			w.Break(f)
+		}
+	}
+}
+
+const allEvents = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n" +
+	"id: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n"
+
+func TestRequestOfEachKind(t *testing.T) {
+	d := deploy(t, 2)
+	for _, n := range d.nodes {
+		for _, path := range []string{stand.PathSafe, stand.PathUnsafe} {
+			r := d.ask(n, path+"x")
+			wantStatus(t, r, http.StatusOK)
+			if want := "answer to " + r.id; r.body != want {
+				t.Errorf("body is %q, want %q", r.body, want)
+			}
+			if !stand.Sealed(r.header) {
+				t.Errorf("answer has no seal: %v", r.header)
+			}
+			d.wantRuns(r.id, stand.ServiceDesk, 1, 1)
+		}
+		r := d.ask(n, stand.PathStream+"x")
+		wantStatus(t, r, http.StatusOK)
+		if r.body != allEvents {
+			t.Errorf("events are %q, want %q", r.body, allEvents)
+		}
+		d.wantRuns(r.id, stand.ServiceEncode, 2, 2)
+		d.wantRuns(r.id, stand.ServiceRank, 3, 3)
+		d.wantRuns(r.id, stand.ServiceEngine, 1, 1)
+	}
+	d.await("all results are freed", func() bool {
+		held := 0
+		for _, w := range d.workers {
+			held += w.Held()
+		}
+		return held == 0
+	})
+}
+
+func TestAccounts(t *testing.T) {
+	d := deploy(t, 1)
+	t.Run("account of the key", func(t *testing.T) {
+		r := d.ask(d.nodes[0], stand.PathSafe, stand.ForgeAccount)
+		wantStatus(t, r, http.StatusOK)
+		account := ""
+		for _, w := range d.workers {
+			if w.Runs(r.id) > 0 {
+				account = w.Account(r.id)
+			}
+		}
+		if account != stand.Account {
+			t.Errorf("request was run for account %q, want %q", account, stand.Account)
+		}
+	})
+	t.Run("unknown key", func(t *testing.T) {
+		r := d.ask(d.nodes[0], stand.PathSafe, func(r *http.Request) { stand.SetKey(r, "other") })
+		wantStatus(t, r, http.StatusUnauthorized)
+	})
+	t.Run("unknown path", func(t *testing.T) { wantStatus(t, d.ask(d.nodes[0], "/none/"), http.StatusNotFound) })
+	t.Run("no id", func(t *testing.T) {
+		r := d.ask(d.nodes[0], stand.PathSafe, stand.DropID)
+		wantStatus(t, r, http.StatusBadRequest)
+	})
+}
+
+// Whatever workers do wrong, a request that may not be repeated is run at most
+// once, and one that was told "not run" was not.
+func TestFaultsOfWorkers(t *testing.T) {
+	for _, c := range []struct {
+		fault          stand.Fault
+		unsafe, safe   int
+		least, most    int
+		safeLeast, max int
+	}{
+		{stand.Shedding, 503, 503, 0, 0, 0, 0},
+		{stand.Losing, 502, 502, 1, 1, 2, 2},
+		{stand.Failing, 500, 500, 1, 1, 2, 2},
+		{stand.Crossing, 502, 502, 1, 1, 2, 2},
+	} {
+		t.Run(string(c.fault), func(t *testing.T) {
+			d := deploy(t, 1)
+			d.breakAll(stand.ServiceDesk, c.fault)
+			unsafe := d.ask(d.nodes[0], stand.PathUnsafe)
+			wantStatus(t, unsafe, c.unsafe)
+			d.wantRuns(unsafe.id, stand.ServiceDesk, c.least, c.most)
+			safe := d.ask(d.nodes[0], stand.PathSafe)
+			wantStatus(t, safe, c.safe)
+			d.wantRuns(safe.id, stand.ServiceDesk, c.safeLeast, c.max)
+		})
+	}
+	t.Run("one worker loses answers", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.workers["desk-a"].Break(stand.Losing)
+		for range 5 {
+			wantStatus(t, d.ask(d.nodes[0], stand.PathSafe), http.StatusOK)
+		}
+	})
+	t.Run("bytes after an answer", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.breakAll(stand.ServiceDesk, stand.Doubling)
+		for range 8 {
+			r := d.ask(d.nodes[0], stand.PathUnsafe)
+			wantStatus(t, r, http.StatusOK)
+			if want := "answer to " + r.id; r.body != want {
+				t.Errorf("body is %q, want %q", r.body, want)
+			}
+		}
+	})
+	t.Run("stream goes on elsewhere", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.workers["engine-a"].Break(stand.Tearing)
+		for range 6 {
+			if r := d.ask(d.nodes[0], stand.PathStream); r.body != allEvents {
+				t.Errorf("events are %q (%v), want %q", r.body, r.err, allEvents)
+			}
+		}
+	})
+	t.Run("stream that breaks everywhere is cut visibly", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.breakAll(stand.ServiceEngine, stand.Tearing)
+		if r := d.ask(d.nodes[0], stand.PathStream); r.err == nil {
+			t.Errorf("answer ends as if it were whole: %q", r.body)
+		}
+	})
+}
+
+// Bytes that come on an unused connection belong to no request.
+func TestUnusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	pool := newConnections()
+	u := upstreamAt(l.Addr().String())
+	for _, c := range []struct {
+		name   string
+		change func(net.Conn)
+		reused bool
+	}{
+		{"quiet", func(net.Conn) {}, true},
+		{"bytes", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n") }, false},
+		{"closed", func(c net.Conn) { c.Close() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, err := pool.get(context.Background(), u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := <-accepted
+			first.finish(nil)
+			c.change(other)
+			time.Sleep(20 * time.Millisecond)
+			second, err := pool.get(context.Background(), u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := second == first; got != c.reused {
+				t.Errorf("connection is used again: %v, want %v", got, c.reused)
+			}
+			second.Close()
+			if !c.reused {
+				<-accepted
+			}
+		})
+	}
+}
+
+// A worker that leaves gets no new work, also from nodes that cannot read the store.
+func TestDraining(t *testing.T) {
+	d := deploy(t, 2)
+	d.workers["desk-a"].Drain()
+	d.await("the node knows that the worker leaves", func() bool {
+		for _, n := range d.nodes {
+			n.server.mu.Lock()
+			u, _ := n.server.directory.Get("desk-a")
+			n.server.mu.Unlock()
+			if !u.Draining {
+				return false
+			}
+		}
+		return true
+	})
+	before := d.workers["desk-a"].Total()
+	for range 10 {
+		wantStatus(t, d.ask(d.nodes[0], stand.PathSafe), http.StatusOK)
+	}
+	if got := d.workers["desk-a"].Total(); got != before {
+		t.Errorf("a worker that leaves got %d requests", got-before)
+	}
+}
+
+// A node knows no configuration while the store is down at its start: it is not
+// ready and answers 503, never 401 or 404. Once it has one, it goes on with it.
+func TestStoreDown(t *testing.T) {
+	d := deploy(t, 1)
+	d.store.Refuse(true)
+	alone := d.addNode("late")
+	d.await("the node answers", func() bool { return d.ask(alone, stand.PathSafe).err == nil })
+	wantStatus(t, d.ask(alone, "/none/"), http.StatusServiceUnavailable)
+	if d.isReady(alone) {
+		t.Error("a node without a configuration is ready")
+	}
+	wantStatus(t, d.ask(d.nodes[0], stand.PathSafe), http.StatusOK)
+	d.store.Refuse(false)
+	d.await("the node is ready", func() bool { return d.isReady(alone) })
+	wantStatus(t, d.ask(alone, stand.PathSafe), http.StatusOK)
+}
+
+// Versions of the configuration come into force, only ever newer ones, also after
+// the store has forgotten the records between.
+func TestConfiguration(t *testing.T) {
+	d := deploy(t, 2)
+	stand.Configure(d.store, 5, "/new/")
+	for _, n := range d.nodes {
+		d.await("the new route is served", func() bool { return d.ask(n, "/new/").status == http.StatusOK })
+	}
+	stand.Configure(d.store, 4)
+	d.store.ForgetConfigs()
+	time.Sleep(100 * time.Millisecond)
+	wantStatus(t, d.ask(d.nodes[0], "/new/"), http.StatusOK)
+	stand.Configure(d.store, 6)
+	d.await("the route is gone", func() bool { return d.ask(d.nodes[0], "/new/").status == http.StatusNotFound })
+}
+
+// A node that is stopped finishes what it has, and ends within its grace although
+// clients keep connections open.
+func TestStop(t *testing.T) {
+	d := deploy(t, 2)
+	for _, w := range d.workers {
+		if w.Kind == stand.Engine {
+			w.Pace = 150 * time.Millisecond
+		}
+	}
+	var group sync.WaitGroup
+	results := make([]result, 6)
+	for i := range results {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			results[i] = d.askAs(d.nodes[0], fmt.Sprint("stop-", i), stand.PathStream)
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	stopped := time.Now()
+	d.nodes[0].stop()
+	group.Wait()
+	for _, r := range results {
+		if r.body != allEvents {
+			t.Errorf("events are %q (%v), want all", r.body, r.err)
+		}
+	}
+	if err := <-d.nodes[0].ended; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(stopped); took > 6*time.Second {
+		t.Errorf("node took %s to end, more than its grace", took)
+	}
+	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
+}
+
+// The owner of the stages dies without a word: requests go on.
+func TestOwnerDies(t *testing.T) {
+	d := deploy(t, 2)
+	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
+	d.await("both nodes have one owner", func() bool {
+		return d.nodes[0].server.ownerOf().ID == d.nodes[1].server.ownerOf().ID
+	})
+	if d.nodes[1].server.ownerOf().ID != "node-0" {
+		t.Fatalf("owner is %q, want the node that started first", d.nodes[1].server.ownerOf().ID)
+	}
+	d.nodes[0].server.close()
+	d.nodes[0].stop()
+	r := d.ask(d.nodes[1], stand.PathStream)
+	wantStatus(t, r, http.StatusOK)
+	if r.body != allEvents {
+		t.Errorf("events are %q, want all", r.body)
+	}
+}
+
+// A client leaves: the worker's connection is closed, and the results are freed.
+func TestClientLeaves(t *testing.T) {
+	d := deploy(t, 1)
+	for _, w := range d.workers {
+		if w.Kind == stand.Stage {
+			w.Pace = 300 * time.Millisecond
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r := d.ask(d.nodes[0], stand.PathStream, func(r *http.Request) { *r = *r.WithContext(ctx) })
+	if r.err == nil {
+		t.Fatalf("answer came: %+v", r)
+	}
+	d.await("nothing is left of the request", func() bool {
+		held := 0
+		for _, w := range d.workers {
+			held += w.Held()
+		}
+		return held == 0 && d.nodes[0].server.requests() == 0 && !d.nodes[0].server.owner.busy()
+	})
+	d.wantRuns(r.id, stand.ServiceEngine, 0, 0)
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,6 +10,14 @@
 	printf 'not formatted:\n%s\n' "$unformatted"
 	exit 1
 fi
+
+# Only platform/ knows the names of the users' platform.
+names='X-Teaselplank-|keyed\.(op|servers|nodes)|/log-(read|append|newest|join)|stage-run|stage-free|kv-events|path_prefix|goal_ms|api_keys|warmup_left_ms|byte_count|headroom_mb'
+if git grep -nE "$names" -- '*.go' ':!platform'; then
+	printf 'names of the platform outside platform/\n'
+	exit 1
+fi
+
 go vet ./...
 go tool staticcheck ./...
 sha256sum --check --quiet peerpb/peer.proto.sha256
