--- a/cmd/teaselplank/cmds/main.go
+++ b/cmd/teaselplank/cmds/main.go
@@ -25,6 +25,7 @@
 type commands struct {
 	Serve   serve      `cmd:"" help:"Run a node."`
 	Entry   entry      `cmd:"" help:"Run an entry host of a deployment."`
+	Explain explain    `cmd:"" help:"Tell the story of a request from the logs of entry hosts."`
 	Rules   rulesGroup `cmd:"" help:"Check, show and publish rules."`
 	Dump    dump       `cmd:"" help:"Print the whole state of a node as JSON."`
 	Status  status     `cmd:"" help:"Print how a node is and what it sees of the others."`
