--- a/batch/worker.go
+++ b/batch/worker.go
@@ -113,7 +113,7 @@
 }
 
 // tightShare is the share of its memory from which a worker has little left.
-const tightShare = 0.4
+const tightShare = 0.3
 
 func (w *worker) tight() bool {
 	return float64(w.used+w.reserved) > tightShare*float64(w.batch.ResultSpace)
