Ask workers for their memory on taking over, and tell a cut from a crash

In a silent cut each worker of the zone had to be found out by itself, with a call's worth of pieces.

Change: an owner asks workers for the memory they have left when it begins to own them, and when one has no room. A worker or engine that does not answer to a connection makes those of its zone suspect that have not answered within 200 ms; one piece tries a suspect worker. The predicted time of a chain is taken 1.2 times.

--- a/batch/admit.go
+++ b/batch/admit.go
@@ -44,6 +44,7 @@
 			in = next.arrive(now, in, need.Pieces)
 		}
 	}
+	in = time.Duration(optimism * float64(in))
 	limit := j.Finish.Add(-time.Duration(j.Rank) * rankMargin)
 	if finish := now.Add(in); finish.After(limit) {
 		return in, finish.Sub(limit), false
@@ -51,8 +52,14 @@
 	return in, 0, true
 }
 
-// rankMargin is how much earlier a request of the next lower urgency is refused.
-const rankMargin = 60 * time.Millisecond
+const (
+	// optimism is how many times longer than predicted a chain of stages takes:
+	// the prediction takes every worker to be as good for a piece as the next.
+	optimism = 1.2
+	// rankMargin is how much earlier a request of the next lower urgency is
+	// refused.
+	rankMargin = 60 * time.Millisecond
+)
 
 // arrive estimates when pieces are done that come to the pool after a time, as a
 // time from now. The pieces before them are those that wait already and those that
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -109,6 +109,11 @@
 		Handles []string
 		OK      bool
 	}
+	// Reported brings the memory for results that a worker has left, in bytes.
+	Reported struct {
+		Worker string
+		Space  int64
+	}
 	// Workers brings the configuration and the upstreams of stage services.
 	Workers struct {
 		Services  []fleet.Service
@@ -126,6 +131,7 @@
 func (Release) BatchEvent()  {}
 func (Returned) BatchEvent() {}
 func (Freed) BatchEvent()    {}
+func (Reported) BatchEvent() {}
 func (Workers) BatchEvent()  {}
 func (Leave) BatchEvent()    {}
 func (Tick) BatchEvent()     {}
@@ -141,6 +147,9 @@
 	Full Failure = "full"
 	// Unreached means that the call did not reach the worker.
 	Unreached Failure = "unreached"
+	// Unanswered is the same for a worker that did not answer to a connection
+	// at all: the way to its zone may be cut.
+	Unanswered Failure = "unanswered"
 	// Broken means that no whole answer came; the call may have run.
 	Broken Failure = "broken"
 )
@@ -184,6 +193,9 @@
 		Worker  fleet.Upstream
 		Handles []string
 	}
+	// Ask asks a worker how much memory for results it has left. Reported
+	// answers it, or nothing does.
+	Ask struct{ Worker fleet.Upstream }
 	// Done brings the results of all pieces of a job, in their order.
 	Done struct {
 		Ref     Ref
@@ -209,6 +221,7 @@
 
 func (Call) BatchEffect()     {}
 func (Free) BatchEffect()     {}
+func (Ask) BatchEffect()      {}
 func (Done) BatchEffect()     {}
 func (Admitted) BatchEffect() {}
 func (Refused) BatchEffect()  {}
@@ -302,6 +315,8 @@
 		s.returned(now, e)
 	case Freed:
 		s.freed(e)
+	case Reported:
+		s.reported(now, e)
 	case Workers:
 		s.update(now, e)
 	case Leave:
@@ -351,6 +366,7 @@
 		s.refuse(&job{Job: j}, ReasonLate, s.returns.next(now, retry, s.share(now, j)))
 		return
 	}
+	s.askAll(now, p)
 	s.emit(Admitted{Ref: j.Ref, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now)), Done: done})
 	s.expect(j)
 	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces}
@@ -361,6 +377,17 @@
 	p.waiting = append(p.waiting, waiting)
 }
 
+// askAll asks the workers of a pool for their memory when this node begins to own
+// it: results that another owner has made may lie there.
+func (s *Scheduler) askAll(now time.Time, p *pool) {
+	if now.Sub(p.usedAt) > p.batch.ResultLife {
+		for _, w := range p.workers {
+			s.emit(Ask{Worker: w.upstream})
+		}
+	}
+	p.usedAt = now
+}
+
 // noWorkerPause is what callers are told to wait while a service has no worker.
 const noWorkerPause = time.Second
 
@@ -439,13 +466,29 @@
 }
 
 func (s *Scheduler) freed(e Freed) {
+	if w := s.worker(e.Worker); w != nil && e.OK {
+		w.forget(e.Handles)
+	}
+}
+
+// reported takes in the memory that a worker has left. What it has less than is
+// known here is taken up by results of another owner.
+func (s *Scheduler) reported(now time.Time, e Reported) {
+	if w := s.worker(e.Worker); w != nil {
+		w.setUnknown(now, w.space(now)+w.held[unknownResults].bytes-e.Space)
+	}
+}
+
+// worker returns a worker by its id, or nil.
+func (s *Scheduler) worker(id string) *worker {
 	for _, p := range s.pools {
 		for _, w := range p.workers {
-			if w.upstream.ID == e.Worker && e.OK {
-				w.forget(e.Handles)
+			if w.upstream.ID == id {
+				return w
 			}
 		}
 	}
+	return nil
 }
 
 // fetchTime is how long after the turn of its last call a job's inputs are kept:
@@ -490,10 +533,13 @@
 	}
 	delete(s.calls, e.Call)
 	c.worker.finish(now, c, e.Failure)
+	if e.Failure == Unanswered {
+		s.suspectZone(now, c.worker.upstream.Zone)
+	}
 	switch e.Failure {
 	case Full:
 		s.counts.Full++
-	case Broken, Unreached:
+	case Broken, Unreached, Unanswered:
 		s.counts.Broken++
 	}
 	if e.Failure == NoFailure {
@@ -509,6 +555,18 @@
 	}
 }
 
+// suspectZone passes over the workers of a zone that have not answered lately, for
+// a cut keeps all of them out of reach at once.
+func (s *Scheduler) suspectZone(now time.Time, zone string) {
+	for _, p := range s.pools {
+		for _, w := range p.workers {
+			if w.upstream.Zone == zone && now.Sub(w.heard) > heardLately {
+				w.suspect(now)
+			}
+		}
+	}
+}
+
 // settle takes in what became of one piece.
 func (s *Scheduler) settle(now time.Time, w *worker, p piece, o Outcome, failure Failure) {
 	if failure == NoFailure && o.Trouble == NoTrouble {
@@ -521,7 +579,7 @@
 		return
 	}
 	switch {
-	case failure == Full || failure == Unreached:
+	case failure == Full || failure == Unreached || failure == Unanswered:
 		s.again(now, p, false)
 	case failure == Broken || o.Trouble == Errored:
 		s.counts.Errored++
@@ -529,6 +587,7 @@
 	case o.Trouble == NoRoom:
 		s.counts.NoRoom++
 		w.outOfRoom(now)
+		s.emit(Ask{Worker: w.upstream})
 		s.again(now, p, false)
 	case o.Trouble == InputGone:
 		s.counts.Gone++
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -457,6 +457,28 @@
 	}
 }
 
+// A node begins to own a pool at whose workers the results of another lie: it asks
+// them for their memory, and sends no more pieces than there is room for.
+func TestReportedMemory(t *testing.T) {
+	r := newRig(t, "a1")
+	asked := 0
+	for _, e := range r.sched.Step(r.now, Submit{Job: Job{Ref: Ref{Request: "first"}, Service: "s", Pieces: 1, ResultBytes: 10,
+		Key: "k", Zone: "a", Due: r.now.Add(time.Second), Finish: r.now.Add(time.Second), Deadline: r.now.Add(time.Second)}}) {
+		if _, ok := e.(Ask); ok {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("%d workers were asked, want 1", asked)
+	}
+	r.step(Returned{Call: 1, Outcomes: []Outcome{{Handle: "h"}}})
+	r.step(Reported{Worker: "a1", Space: 30})
+	r.submit("second", "a", 8, time.Second)
+	if got := len(r.log[0].Items); got != 3 {
+		t.Errorf("%d pieces of 10 bytes were sent, want 3", got)
+	}
+}
+
 // Memory is short at the maker of an input: the input is freed as soon as the call
 // that needs it has fetched it. Elsewhere it stays until the job has ended.
 func TestInputsAreFreedEarly(t *testing.T) {
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -20,6 +20,8 @@
 	// coming is the number of pieces that admitted requests will bring.
 	coming int
 	pace   pace
+	// usedAt is when a job last came.
+	usedAt time.Time
 }
 
 // update takes in services and upstreams. Workers that go lose their results.
@@ -182,6 +184,9 @@
 // fill sends a worker one call of the pieces that are best done there.
 func (s *Scheduler) fill(now time.Time, p *pool, w *worker) {
 	limit := p.share(now, w)
+	if w.unsure() {
+		limit = 1
+	}
 	if w.slow >= slowFactor {
 		w.probedAt = now
 	}
@@ -250,8 +255,12 @@
 	return done.After(j.Due)
 }
 
-// callPatience is how many times the expected time is waited for a call.
-const callPatience = 4
+// A call is given up after callPatience times the time that it should take, and
+// callGrace more: a slow worker's first call still ends.
+const (
+	callPatience = 5
+	callGrace    = 250 * time.Millisecond
+)
 
 func (s *Scheduler) send(now time.Time, p *pool, c *call) {
 	s.number++
@@ -260,7 +269,7 @@
 	c.expect = callTime(p.batch, len(c.pieces))
 	c.worker.call = c
 	s.calls[s.number] = c
-	out := Call{Number: s.number, Worker: c.worker.upstream, Timeout: callPatience*c.expect + time.Second}
+	out := Call{Number: s.number, Worker: c.worker.upstream, Timeout: callPatience*c.expect + callGrace}
 	for _, one := range c.pieces {
 		j := one.job
 		j.sent = true
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -18,6 +18,8 @@
 	// long the worker is passed over for them.
 	failures     int
 	suspectUntil time.Time
+	// heard is when the worker last answered a call.
+	heard time.Time
 	// fullUntil is how long the worker is passed over since it had no room.
 	fullUntil time.Time
 	// held are the results that lie at the worker, in bytes of about used, and
@@ -43,6 +45,9 @@
 	// doubles with each failure up to maxSuspect.
 	suspectFor = 300 * time.Millisecond
 	maxSuspect = 3 * time.Second
+	// heardLately is how long an answer of a worker speaks against a cut of its
+	// zone.
+	heardLately = 200 * time.Millisecond
 	// fullPause is how long a worker that had no room for a call is passed over:
 	// about half a call of another owner.
 	fullPause = 120 * time.Millisecond
@@ -65,16 +70,26 @@
 	switch failure {
 	case Full:
 		w.fullUntil = now.Add(fullPause)
-	case Unreached, Broken:
-		w.failures++
-		w.suspectUntil = now.Add(min(suspectFor<<min(w.failures-1, 6), maxSuspect))
+	case Unreached, Unanswered, Broken:
+		w.suspect(now)
 	default:
 		w.failures = 0
+		w.heard = now
 		ratio := float64(now.Sub(c.sent)) / float64(c.expect)
 		w.slow += slowWeight * (max(ratio, 1) - w.slow)
 	}
 }
 
+// suspect passes the worker over for a while.
+func (w *worker) suspect(now time.Time) {
+	w.failures++
+	w.suspectUntil = now.Add(min(suspectFor<<min(w.failures-1, 6), maxSuspect))
+}
+
+// unsure reports whether the worker's last call failed: then one piece shows
+// whether it is back.
+func (w *worker) unsure() bool { return w.failures > 0 }
+
 // usable reports whether the worker can be sent calls at all.
 func (w *worker) usable(now time.Time) bool {
 	return !w.upstream.Draining && !now.Before(w.suspectUntil)
@@ -125,19 +140,25 @@
 	w.used += bytes
 }
 
-// outOfRoom notes that the worker has less memory than is known here: results of
-// another owner take it up. All that seems free counts as taken for a while.
+// unknownResults stands among the held results for those of another owner.
+const unknownResults = "results of another owner"
+
+// unknownFor is how long the memory that another owner's results take up counts
+// as taken.
+const unknownFor = 600 * time.Millisecond
+
+// outOfRoom notes that the worker has less memory than is known here.
 func (w *worker) outOfRoom(now time.Time) {
 	w.fullUntil = now.Add(noRoomPause)
-	const name = "unknown results"
-	space := w.space(now) + w.held[name].bytes
-	w.used += max(space, 0) - w.held[name].bytes
-	w.held[name] = held{bytes: max(space, 0), expires: now.Add(unknownFor)}
+	w.setUnknown(now, w.space(now)+w.held[unknownResults].bytes)
 }
 
-// unknownFor is how long the memory that another owner's results take up counts
-// as taken.
-const unknownFor = 500 * time.Millisecond
+// setUnknown sets the memory that another owner's results take up.
+func (w *worker) setUnknown(now time.Time, bytes int64) {
+	bytes = max(bytes, 0)
+	w.used += bytes - w.held[unknownResults].bytes
+	w.held[unknownResults] = held{bytes: bytes, expires: now.Add(unknownFor)}
+}
 
 // forget takes the results off that the worker has freed.
 func (w *worker) forget(handles []string) {
--- a/flow/attempt.go
+++ b/flow/attempt.go
@@ -106,6 +106,7 @@
 		return
 	}
 	u := r.upstream
+	u.answered = now
 	if e.Answer.Load != nil {
 		u.report(now, *e.Answer.Load)
 	}
@@ -208,7 +209,7 @@
 	}
 	n.counts.Finished++
 	if e.Status < http.StatusInternalServerError {
-		r.upstream.succeeded(now.Sub(r.sentAt))
+		r.upstream.succeeded(now, now.Sub(r.sentAt))
 	}
 	n.note(r, "answered", ReasonAnswered, "status", e.Status, "attempts", r.attempt, "upstream", r.upstream.ID,
 		"held_ms", now.Sub(r.arrived).Milliseconds(), "due_ms", r.due.Sub(now).Milliseconds())
@@ -229,10 +230,13 @@
 	}
 	n.note(r, "attempt failed", "", "failure", string(e.Failure), "attempt", e.Attempt, "upstream", u.ID,
 		"after_ms", now.Sub(r.sentAt).Milliseconds())
-	if e.Failure == Unreached || e.Failure == Withheld {
-		if e.Failure == Unreached {
+	if e.Failure == Unreached || e.Failure == Unanswered || e.Failure == Withheld {
+		if e.Failure != Withheld {
 			u.suspect(now)
 		}
+		if e.Failure == Unanswered {
+			n.suspectZone(now, u.Zone)
+		}
 		if r.attempt < maxSends {
 			n.repeat(now, r, string(e.Failure))
 			return
--- a/flow/event.go
+++ b/flow/event.go
@@ -131,6 +131,9 @@
 const (
 	// Unreached means that nothing was sent to the upstream.
 	Unreached Failure = "unreached"
+	// Unanswered is the same for an upstream that did not answer to a
+	// connection at all: the way to its zone may be cut.
+	Unanswered Failure = "unanswered"
 	// Withheld means that the upstream was found to be leaving before
 	// anything was sent.
 	Withheld Failure = "withheld"
--- a/flow/pool.go
+++ b/flow/pool.go
@@ -35,6 +35,8 @@
 	// until suspectUntil.
 	broken       int
 	suspectUntil time.Time
+	// answered is when the upstream last answered.
+	answered time.Time
 }
 
 const (
@@ -44,6 +46,9 @@
 	// reached; it doubles with each failure up to maxSuspect.
 	suspectFor = 300 * time.Millisecond
 	maxSuspect = 3 * time.Second
+	// answeredLately is how long an answer of an upstream speaks against a cut
+	// of its zone.
+	answeredLately = 200 * time.Millisecond
 	// fullFor is how long an upstream that had no room is passed over.
 	fullFor = 60 * time.Millisecond
 	// meanWeight is the weight of the newest value in moving means.
@@ -138,7 +143,8 @@
 	u.load, u.heard, u.flightThen = l, now, u.flight
 }
 
-func (u *upstream) succeeded(latency time.Duration) {
+func (u *upstream) succeeded(now time.Time, latency time.Duration) {
+	u.answered = now
 	u.broken = 0
 	u.suspectUntil = time.Time{}
 	u.failures -= meanWeight * u.failures
@@ -155,6 +161,18 @@
 	u.suspectUntil = now.Add(min(suspectFor<<min(u.broken-1, 6), maxSuspect))
 }
 
+// suspectZone passes over the upstreams of a zone that have not answered lately,
+// for a cut keeps all of them out of reach at once.
+func (n *Node) suspectZone(now time.Time, zone string) {
+	for _, p := range n.pools {
+		for _, u := range p.upstreams {
+			if u.Zone == zone && now.Sub(u.answered) > answeredLately && !now.Before(u.suspectUntil) {
+				u.suspect(now)
+			}
+		}
+	}
+}
+
 // mean moves a mean towards a value; a mean of 0 is not known yet.
 func mean(old, value time.Duration) time.Duration {
 	if old == 0 {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -83,6 +83,9 @@
 	c, err := x.server.upstreams.get(ctx, e.Upstream)
 	if err != nil {
 		x.server.metrics.upstreamFailure(e.Upstream.Service, "dial")
+		if isTimeout(err) {
+			return nil, flow.Unanswered
+		}
 		return nil, flow.Unreached
 	}
 	if !x.server.usable(e.Upstream) {
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -244,6 +244,8 @@
 	}
 }
 
+// isTimeout reports whether an operation on a connection took too long.
 func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	var timeout net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -66,6 +66,8 @@
 			go o.call(e)
 		case batch.Free:
 			go o.free(e)
+		case batch.Ask:
+			go o.ask(e.Worker)
 		case batch.Admitted:
 			o.server.logger.Info("stage admitted", "request", e.Ref.Request, "stage", e.Ref.Stage, "waiting", e.Waiting,
 				"coming", e.Coming, "workers", e.Workers, "done_ms", e.Done.Milliseconds())
@@ -155,6 +157,27 @@
 	o.step(batch.Freed{Worker: f.Worker.ID, Handles: f.Handles, OK: ok})
 }
 
+// ask asks a worker for the memory that it has left. No answer changes nothing.
+func (o *owner) ask(u fleet.Upstream) {
+	r, err := o.server.protocol.ReportCall(u)
+	if err != nil {
+		o.server.logger.Error("worker is not asked", "worker", u.ID, "error", err.Error())
+		return
+	}
+	status, _, body, failure := o.server.post(r, u, freeTimeout)
+	if failure != batch.NoFailure || status != http.StatusOK {
+		o.server.metrics.upstreamFailure(u.Service, "report")
+		return
+	}
+	space, err := o.server.protocol.ReportAnswer(body)
+	if err != nil {
+		o.server.metrics.upstreamFailure(u.Service, "report")
+		return
+	}
+	o.server.logger.Info("worker reports", "worker", u.ID, "service", u.Service, "space", space)
+	o.step(batch.Reported{Worker: u.ID, Space: space})
+}
+
 // post sends a call to a worker of a stage service and reads the whole answer.
 func (s *Server) post(r *http.Request, u fleet.Upstream, timeout time.Duration) (int, http.Header, []byte, batch.Failure) {
 	ctx, cancel := context.WithTimeout(s.context, timeout)
@@ -162,6 +185,9 @@
 	c, err := s.upstreams.get(ctx, u)
 	if err != nil {
 		s.metrics.upstreamFailure(u.Service, "dial")
+		if isTimeout(err) {
+			return 0, nil, nil, batch.Unanswered
+		}
 		return 0, nil, nil, batch.Unreached
 	}
 	if !s.usable(u) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,10 @@
 	// StageAnswer decodes the answer to a call of so many pieces.
 	StageCall(c batch.Call) (*http.Request, error)
 	FreeCall(f batch.Free) (*http.Request, error)
+	// ReportCall returns the request for the memory that a worker of stages has
+	// left, and ReportAnswer decodes the answer.
+	ReportCall(u fleet.Upstream) (*http.Request, error)
+	ReportAnswer(body []byte) (int64, error)
 	StageAnswer(status int, header http.Header, body []byte, pieces int) ([]batch.Outcome, batch.Failure)
 }
 
