Forget expected stages that do not come, and measure calls that lack memory

The measured pace fed on itself as well: small calls that followed from refusals counted as all that workers could do. Workers report their memory in whole millions, rounded down, so that one of 0.8 MB says 0.

Change: an expected stage lapses 0.2 s after it is due; a test failed first. Pace is lowered only by calls that found no memory for what waited.

--- a/batch/admit.go
+++ b/batch/admit.go
@@ -12,11 +12,35 @@
 			continue
 		}
 		s.expectNot(Ref{j.Ref.Request, need.Stage})
-		s.coming[Ref{j.Ref.Request, need.Stage}] = need
+		s.coming[Ref{j.Ref.Request, need.Stage}] = coming{need, j.Finish}
+		s.lapses.Add(j.Finish.Add(comeLate), Ref{j.Ref.Request, need.Stage})
 		p.coming += need.Pieces
 	}
 }
 
+// A coming is a stage that an admitted request will need, which is due at a time.
+type coming struct {
+	Need
+	due time.Time
+}
+
+// comeLate is how long after it is due a stage is still expected.
+const comeLate = 200 * time.Millisecond
+
+// lapse forgets the stages that have not come in time: their requests have ended,
+// or have gone on with another owner.
+func (s *Scheduler) lapse(now time.Time) {
+	for {
+		ref, ok := s.lapses.Pop(now)
+		if !ok {
+			return
+		}
+		if !now.Before(s.coming[ref].due.Add(comeLate)) {
+			s.expectNot(ref)
+		}
+	}
+}
+
 // expectNot forgets a stage that has come, or will not come.
 func (s *Scheduler) expectNot(ref Ref) {
 	need, ok := s.coming[ref]
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -243,8 +243,10 @@
 	jobs  map[Ref]*job
 	// calls holds the calls under way by their number.
 	calls map[int]*call
-	// coming holds the stages that admitted requests will need.
-	coming map[Ref]Need
+	// coming holds the stages that admitted requests will need, and lapses when
+	// they are forgotten.
+	coming map[Ref]coming
+	lapses queue.Timers[Ref]
 	// fetched holds the jobs whose inputs are to be freed, and when.
 	fetched queue.Timers[Ref]
 	// freedLately are results that were freed, so that none is freed twice.
@@ -301,7 +303,7 @@
 		s.pools = make(map[string]*pool)
 		s.jobs = make(map[Ref]*job)
 		s.calls = make(map[int]*call)
-		s.coming = make(map[Ref]Need)
+		s.coming = make(map[Ref]coming)
 	}
 	s.effects = nil
 	switch e := event.(type) {
@@ -324,6 +326,7 @@
 	case Tick:
 	}
 	s.freeFetched(now)
+	s.lapse(now)
 	for _, p := range s.pools {
 		s.pump(now, p)
 	}
@@ -542,9 +545,6 @@
 	case Broken, Unreached, Unanswered:
 		s.counts.Broken++
 	}
-	if e.Failure == NoFailure {
-		s.pools[c.worker.upstream.Service].finished(len(c.pieces))
-	}
 	for i, piece := range c.pieces {
 		c.worker.reserved -= piece.bytes
 		outcome := Outcome{}
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -502,3 +502,77 @@
 		})
 	}
 }
+
+// A burst is refused in part; after it, load that the workers carry is admitted as
+// before. What they do in calls that are not full says nothing of what they could.
+func TestRecoveryAfterBurst(t *testing.T) {
+	r := newRig(t, "a1", "b1")
+	number := 0
+	offer := func(pause time.Duration, d time.Duration) (refused int) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			number++
+			ref := r.submit(fmt.Sprint(number), []string{"a", "b"}[number%2], 1, 900*time.Millisecond)
+			r.run(pause)
+			if r.refused[ref].Reason != "" {
+				refused++
+			}
+			if number%10 == 0 {
+				r.free()
+			}
+		}
+		return refused
+	}
+	// Two workers do 66 pieces a second in full calls.
+	offer(5*time.Millisecond, 4*time.Second)
+	before := len(r.done)
+	offer(10*time.Millisecond, 6*time.Second)
+	if got := len(r.done) - before; got < 6*66*8/10 {
+		t.Errorf("%d pieces were done in 6 s of too much load, want %d or more", got, 6*66*8/10)
+	}
+	offer(25*time.Millisecond, 2*time.Second)
+	if refused := offer(25*time.Millisecond, 6*time.Second); refused > 0 {
+		t.Errorf("%d requests were refused at six tenths of the workers' capacity", refused)
+	}
+}
+
+// Requests have their first stage done here and their second by another owner, as
+// views of who owns differ for a while: what was expected of them is forgotten, and
+// admission does not go on counting it.
+func TestExpectedStagesThatDoNotCome(t *testing.T) {
+	r := chainRig(t)
+	for i := range 6 {
+		r.submitChain(fmt.Sprint(i), 2*time.Second)
+	}
+	r.run(6 * time.Second)
+	if coming := r.sched.pools["narrow"].coming; coming != 0 {
+		t.Errorf("%d pieces are still expected, want none", coming)
+	}
+	r.wantRefused(r.submitChain("next", 1500*time.Millisecond), "")
+}
+
+// Results of another owner fill the workers' memory for two seconds under more load
+// than the workers carry. Once they are gone, as much is admitted as before: small
+// calls that follow from refusals are no reason for further refusals.
+func TestRecoveryAfterShortMemory(t *testing.T) {
+	r := newRig(t, "a1", "b1")
+	number := 0
+	offer := func(d time.Duration, space int64) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			number++
+			r.submit(fmt.Sprint(number), []string{"a", "b"}[number%2], 1, 700*time.Millisecond)
+			if space > 0 {
+				r.step(Reported{Worker: "a1", Space: space})
+				r.step(Reported{Worker: "b1", Space: space})
+			}
+			r.run(10 * time.Millisecond)
+			r.free()
+		}
+	}
+	offer(2*time.Second, 20)
+	before := len(r.done)
+	offer(6*time.Second, 0)
+	// Two workers do 66 pieces a second in full calls.
+	if got := len(r.done) - before; got < 6*66*8/10 {
+		t.Errorf("%d pieces were done in 6 s of too much load, want %d or more", got, 6*66*8/10)
+	}
+}
--- a/batch/pace.go
+++ b/batch/pace.go
@@ -2,57 +2,41 @@
 
 import "time"
 
-// A pace measures what a pool's workers get done while pieces wait for them. That
-// may be less than full calls: memory for results runs out, pieces of one zone
-// leave workers of another idle, calls fail. The zero value has measured nothing.
+// A pace measures how full calls can be. Calls that are not full for want of
+// memory for results lower it; full ones raise it, and so do those that took all
+// there was to do, since they say nothing against it. The zero value has measured
+// nothing.
 type pace struct {
-	since time.Time
-	// done counts the pieces since then; starved is true if at some moment no
-	// piece waited.
-	done    int
-	starved bool
-	// share is a moving mean of the pieces done over those of full calls; 0 is
-	// not known.
-	share float64
+	// short is a moving mean of the part of a full call that calls lacked.
+	short float64
+	// starvedAt is when a worker last had no memory at all.
+	starvedAt time.Time
 }
 
 const (
-	// paceWindow is the length of a measurement, and paceWeight the weight of
-	// the newest in the mean.
-	paceWindow = 400 * time.Millisecond
-	paceWeight = 0.4
-	// leastShare bounds the mean from below, so that admission never stops.
-	leastShare = 0.3
+	// paceWeight is the weight of the newest call in the mean.
+	paceWeight = 0.08
+	// mostShort bounds the mean, so that admission never stops.
+	mostShort = 0.7
+	// starvedPace is the least time between two notes of workers without memory.
+	starvedPace = 60 * time.Millisecond
 )
 
-// measure looks at the queue, and ends the measurement when its time has come.
-func (p *pool) measure(now time.Time) {
-	m := &p.pace
-	if len(p.waiting) == 0 {
-		m.starved = true
+// filled notes a call of so many pieces of the most. Limited is true if there was
+// more to do that found no memory.
+func (m *pace) filled(now time.Time, items, most int, limited bool) {
+	lacked := 0.0
+	if limited {
+		lacked = 1 - float64(items)/float64(most)
 	}
-	if m.since.IsZero() {
-		m.since, m.share = now, 1
-	}
-	if now.Sub(m.since) < paceWindow {
-		return
-	}
-	full := p.fullRate(p.usable(now)) * now.Sub(m.since).Seconds()
-	switch {
-	case m.starved || full == 0:
-		m.share += paceWeight / 2 * (1 - m.share)
-	default:
-		m.share += paceWeight * (min(float64(m.done)/full, 1) - m.share)
-	}
-	m.share = max(m.share, leastShare)
-	m.since, m.done, m.starved = now, 0, false
-}
-
-// finished counts pieces that a worker has done.
-func (p *pool) finished(pieces int) {
-	if p != nil {
-		p.pace.done += pieces
+	if items == 0 {
+		if !limited || now.Sub(m.starvedAt) < starvedPace {
+			return
+		}
+		m.starvedAt = now
 	}
+	m.short += paceWeight * (lacked - m.short)
+	m.short = min(m.short, mostShort)
 }
 
 // fullRate returns the pieces a second that workers do in full calls.
@@ -67,8 +51,5 @@
 // rate returns the pieces a second that the workers are likely to do while pieces
 // wait for them.
 func (p *pool) rate(workers []*worker) float64 {
-	if p.pace.share == 0 {
-		return p.fullRate(workers) // nothing was measured yet
-	}
-	return p.fullRate(workers) * p.pace.share
+	return p.fullRate(workers) * (1 - p.pace.short)
 }
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -127,7 +127,6 @@
 // pump sends calls to workers that are idle, frees results, and drops the jobs
 // that have become hopeless.
 func (s *Scheduler) pump(now time.Time, p *pool) {
-	p.measure(now)
 	s.expire(now, p)
 	for _, w := range p.workers {
 		if len(w.unwanted) > 0 && now.Sub(w.freedAt) >= freePace {
@@ -191,6 +190,7 @@
 		w.probedAt = now
 	}
 	space := w.space(now)
+	limited := false
 	c := &call{worker: w, sent: now}
 	for _, local := range []bool{true, false} {
 		for _, j := range p.waiting {
@@ -202,8 +202,10 @@
 				c.pieces = append(c.pieces, piece{job: j, index: j.pending[0], bytes: j.ResultBytes})
 				j.pending = j.pending[1:]
 			}
+			limited = limited || len(j.pending) > 0 && len(c.pieces) < limit
 		}
 	}
+	p.pace.filled(now, len(c.pieces), p.batch.MaxItems, limited)
 	if len(c.pieces) > 0 {
 		s.send(now, p, c)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,7 +48,7 @@
 	StageCall(c batch.Call) (*http.Request, error)
 	FreeCall(f batch.Free) (*http.Request, error)
 	// ReportCall returns the request for the memory that a worker of stages has
-	// left, and ReportAnswer decodes the answer.
+	// left, and ReportAnswer decodes the most that it may be, in bytes.
 	ReportCall(u fleet.Upstream) (*http.Request, error)
 	ReportAnswer(body []byte) (int64, error)
 	StageAnswer(status int, header http.Header, body []byte, pieces int) ([]batch.Outcome, batch.Failure)
