--- a/batch/admit.go
+++ b/batch/admit.go
@@ -79,7 +79,7 @@
 const (
 	// optimism is how many times longer than predicted a chain of stages takes:
 	// the prediction takes every worker to be as good for a piece as the next.
-	optimism = 1.2
+	optimism = 1.3
 	// rankMargin is how much earlier a request of the next lower urgency is
 	// refused.
 	rankMargin = 60 * time.Millisecond
