Keep failures and the pause after them in one place

Cause: route, batch and flow each counted failures in a row and doubled the pause. Change: package health has the one copy, with tests; the three use it. No behaviour changes but the bound of doublings in batch and flow, which their longest pause makes unreachable.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -561,7 +561,7 @@
 	for _, p := range s.pools {
 		for _, w := range p.workers {
 			if w.upstream.Zone == zone && now.Sub(w.heard) > heardLately {
-				w.suspect(now)
+				w.health.Fail(now, backoff)
 			}
 		}
 	}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -183,8 +183,8 @@
 // fill sends a worker one call of the pieces that are best done there.
 func (s *Scheduler) fill(now time.Time, p *pool, w *worker) {
 	limit := p.share(now, w)
-	if w.unsure() {
-		limit = 1
+	if w.health.Unsure() {
+		limit = 1 // One piece shows whether it is back.
 	}
 	if w.slow >= slowFactor {
 		w.probedAt = now
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/health"
 )
 
 // A worker is what the scheduler knows of one worker of a stage service.
@@ -14,10 +15,8 @@
 	call *call
 	// slow is a moving mean of the time that calls took over what they should.
 	slow float64
-	// failures counts the calls in a row that failed, and suspectUntil is how
-	// long the worker is passed over for them.
-	failures     int
-	suspectUntil time.Time
+	// health has the calls that failed since the last that did not.
+	health health.Record
 	// heard is when the worker last answered a call.
 	heard time.Time
 	// fullUntil is how long the worker is passed over since it had no room.
@@ -41,10 +40,6 @@
 }
 
 const (
-	// suspectFor is how long a worker is passed over after a call failed; it
-	// doubles with each failure up to maxSuspect.
-	suspectFor = 300 * time.Millisecond
-	maxSuspect = 3 * time.Second
 	// heardLately is how long an answer of a worker speaks against a cut of its
 	// zone.
 	heardLately = 200 * time.Millisecond
@@ -64,6 +59,9 @@
 	spaceShare = 0.92
 )
 
+// backoff is how long a worker is passed over after a call failed.
+var backoff = health.Backoff{Least: 300 * time.Millisecond, Most: 3 * time.Second}
+
 // finish takes in the end of a call.
 func (w *worker) finish(now time.Time, c *call, failure Failure) {
 	w.call = nil
@@ -71,28 +69,18 @@
 	case Full:
 		w.fullUntil = now.Add(fullPause)
 	case Unreached, Unanswered, Broken:
-		w.suspect(now)
+		w.health.Fail(now, backoff)
 	default:
-		w.failures = 0
+		w.health.Clear()
 		w.heard = now
 		ratio := float64(now.Sub(c.sent)) / float64(c.expect)
 		w.slow += slowWeight * (max(ratio, 1) - w.slow)
 	}
 }
 
-// suspect passes the worker over for a while.
-func (w *worker) suspect(now time.Time) {
-	w.failures++
-	w.suspectUntil = now.Add(min(suspectFor<<min(w.failures-1, 6), maxSuspect))
-}
-
-// unsure reports whether the worker's last call failed: then one piece shows
-// whether it is back.
-func (w *worker) unsure() bool { return w.failures > 0 }
-
 // usable reports whether the worker can be sent calls at all.
 func (w *worker) usable(now time.Time) bool {
-	return !w.upstream.Draining && !now.Before(w.suspectUntil)
+	return !w.upstream.Draining && !w.health.Suspect(now)
 }
 
 // idle reports whether the worker can take a call now.
--- a/bench/bench.go
+++ b/bench/bench.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"teaselplank/core"
+	"teaselplank/health"
 	"teaselplank/pipe"
 	"teaselplank/route"
 )
@@ -114,7 +115,7 @@
 		c.Pipe = pipe.BaselineConfig()
 		c.FollowRules = false
 		c.Route.Adaptive = false
-		c.Route.SuspectFor, c.Route.MaxSuspect, c.Route.Heartbeat = 0, 0, 0
+		c.Route.Backoff, c.Route.Heartbeat = health.Backoff{}, 0
 	}}
 }
 
--- a/flow/attempt.go
+++ b/flow/attempt.go
@@ -150,7 +150,7 @@
 		n.giveUp(now, r, ReasonStage, fullPause)
 		return
 	default:
-		u.suspectUntil = now.Add(fullFor)
+		u.health.Hold(now.Add(fullFor))
 	}
 	n.settle(r)
 	p := n.pools[r.service]
--- a/flow/pool.go
+++ b/flow/pool.go
@@ -7,6 +7,7 @@
 
 	"teaselplank/budget"
 	"teaselplank/fleet"
+	"teaselplank/health"
 	"teaselplank/place"
 )
 
@@ -31,10 +32,8 @@
 	flightThen int
 	latency    time.Duration
 	failures   float64
-	// broken counts the failures in a row, for which the upstream is passed over
-	// until suspectUntil.
-	broken       int
-	suspectUntil time.Time
+	// health has the attempts that failed since the last that did not.
+	health health.Record
 	// answered is when the upstream last answered.
 	answered time.Time
 }
@@ -42,10 +41,6 @@
 const (
 	// loadLife is the time after which a reported load counts for a third.
 	loadLife = 400 * time.Millisecond
-	// suspectFor is how long an upstream is passed over after it could not be
-	// reached; it doubles with each failure up to maxSuspect.
-	suspectFor = 300 * time.Millisecond
-	maxSuspect = 3 * time.Second
 	// answeredLately is how long an answer of an upstream speaks against a cut
 	// of its zone.
 	answeredLately = 200 * time.Millisecond
@@ -55,6 +50,9 @@
 	meanWeight = 0.1
 )
 
+// backoff is how long an upstream is passed over after it could not be reached.
+var backoff = health.Backoff{Least: 300 * time.Millisecond, Most: 3 * time.Second}
+
 // register takes in the upstreams. One that is known as the same process keeps
 // what is known of it.
 func (n *Node) register(upstreams []fleet.Upstream) {
@@ -85,7 +83,7 @@
 func (p *pool) candidates(now time.Time, tried []string) []place.Candidate {
 	var found []place.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || now.Before(u.suspectUntil) || slices.Contains(tried, u.ID) {
+		if u.Draining || u.health.Suspect(now) || slices.Contains(tried, u.ID) {
 			continue
 		}
 		found = append(found, place.Candidate{
@@ -145,8 +143,7 @@
 
 func (u *upstream) succeeded(now time.Time, latency time.Duration) {
 	u.answered = now
-	u.broken = 0
-	u.suspectUntil = time.Time{}
+	u.health.Clear()
 	u.failures -= meanWeight * u.failures
 	u.latency = mean(u.latency, latency)
 }
@@ -157,8 +154,7 @@
 // suspect passes the upstream over for a while.
 func (u *upstream) suspect(now time.Time) {
 	u.failed()
-	u.broken++
-	u.suspectUntil = now.Add(min(suspectFor<<min(u.broken-1, 6), maxSuspect))
+	u.health.Fail(now, backoff)
 }
 
 // suspectZone passes over the upstreams of a zone that have not answered lately,
@@ -166,7 +162,7 @@
 func (n *Node) suspectZone(now time.Time, zone string) {
 	for _, p := range n.pools {
 		for _, u := range p.upstreams {
-			if u.Zone == zone && now.Sub(u.answered) > answeredLately && !now.Before(u.suspectUntil) {
+			if u.Zone == zone && now.Sub(u.answered) > answeredLately && !u.health.Suspect(now) {
 				u.suspect(now)
 			}
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
+	"teaselplank/health"
 	"teaselplank/wire"
 )
 
@@ -33,10 +34,9 @@
 	Subset int
 	// ReportLife is the time after which a reported load counts for a third.
 	ReportLife time.Duration
-	// SuspectFor is how long a worker is passed over after a connection to
-	// it failed; it doubles with each failure up to MaxSuspect.
-	SuspectFor time.Duration
-	MaxSuspect time.Duration
+	// Backoff is how long a worker is passed over after a connection to it
+	// failed.
+	Backoff health.Backoff
 	// Heartbeat is the age from which a reported load tells that the worker
 	// cannot be reached; 0 is never.
 	Heartbeat time.Duration
@@ -52,8 +52,7 @@
 		Nodes:      1,
 		Subset:     24,
 		ReportLife: 500 * time.Millisecond,
-		SuspectFor: 500 * time.Millisecond,
-		MaxSuspect: 8 * time.Second,
+		Backoff:    health.Backoff{Least: 500 * time.Millisecond, Most: 8 * time.Second},
 		Heartbeat:  time.Second,
 		Adaptive:   true,
 	}
@@ -288,21 +287,14 @@
 	w.flight = max(w.flight-1, 0)
 	switch end {
 	case Answered:
-		w.failures = 0
-		w.suspectUntil = time.Time{}
+		w.health.Clear()
 		w.grow()
 	case Overloaded, TimedOut:
 		w.shrink()
 		if end == TimedOut {
-			t.suspect(now, w)
+			w.health.Fail(now, t.config.Backoff)
 		}
 	case Broken:
-		t.suspect(now, w)
+		w.health.Fail(now, t.config.Backoff)
 	}
 }
-
-func (t *Table) suspect(now time.Time, w *Worker) {
-	w.failures++
-	pause := t.config.SuspectFor << min(w.failures-1, 10)
-	w.suspectUntil = now.Add(min(pause, t.config.MaxSuspect))
-}
--- a/route/worker.go
+++ b/route/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"teaselplank/health"
 	"teaselplank/wire"
 )
 
@@ -20,10 +21,9 @@
 	// asked is when the worker was last asked for its load.
 	asked      time.Time
 	flightThen int
-	// failures counts failed connections since the last answer.
-	failures     int
-	suspectUntil time.Time
-	leaving      bool
+	// health has the connections that failed since the last answer.
+	health  health.Record
+	leaving bool
 }
 
 // The bounds of a worker's limit, and what it is before the first report.
@@ -57,7 +57,7 @@
 func (w *Worker) Leaving() bool { return w.leaving }
 
 // Suspect reports whether connections to the worker have failed lately.
-func (w *Worker) Suspect(now time.Time) bool { return now.Before(w.suspectUntil) }
+func (w *Worker) Suspect(now time.Time) bool { return w.health.Suspect(now) }
 
 // Worker returns a worker by its host's id.
 func (t *Table) Worker(id string) (*Worker, bool) {
