--- a/batch/pool.go
+++ b/batch/pool.go
@@ -129,6 +129,7 @@
 func (s *Scheduler) pump(now time.Time, p *pool) {
 	s.expire(now, p)
 	for _, w := range p.workers {
+		w.notice(now)
 		if len(w.unwanted) > 0 && now.Sub(w.freedAt) >= freePace {
 			s.emit(Free{Worker: w.upstream, Handles: w.unwanted})
 			w.unwanted, w.freedAt = nil, now
@@ -182,16 +183,14 @@
 
 // fill sends a worker one call of the pieces that are best done there.
 func (s *Scheduler) fill(now time.Time, p *pool, w *worker) {
-	limit := p.share(now, w)
-	if w.health.Unsure() {
-		limit = 1 // One piece shows whether it is back.
-	}
-	if w.slow >= slowFactor {
-		w.probedAt = now
+	c := &call{worker: w, sent: now}
+	if p.trial(now, w) {
+		s.try(now, p, c)
+		return
 	}
+	limit := p.share(now, w)
 	space := w.space(now)
 	limited := false
-	c := &call{worker: w, sent: now}
 	for _, local := range []bool{true, false} {
 		for _, j := range p.waiting {
 			if (j.Zone == w.upstream.Zone) != local || !local && !p.crosses(now, j, w) {
@@ -199,8 +198,7 @@
 			}
 			for len(j.pending) > 0 && len(c.pieces) < limit && j.ResultBytes <= space {
 				space -= j.ResultBytes
-				c.pieces = append(c.pieces, piece{job: j, index: j.pending[0], bytes: j.ResultBytes})
-				j.pending = j.pending[1:]
+				c.add(j)
 			}
 			limited = limited || len(j.pending) > 0 && len(c.pieces) < limit
 		}
@@ -211,6 +209,31 @@
 	}
 }
 
+// add takes the next piece of a job into the call.
+func (c *call) add(j *job) {
+	c.pieces = append(c.pieces, piece{job: j, index: j.pending[0], bytes: j.ResultBytes})
+	j.pending = j.pending[1:]
+}
+
+// trial reports whether a call to the worker only shows whether it does well again.
+func (p *pool) trial(now time.Time, w *worker) bool {
+	return w.health.Unsure() || !slices.Contains(p.usable(now), w)
+}
+
+// try sends a worker that failed or was slow one piece, of the job that can wait
+// longest.
+func (s *Scheduler) try(now time.Time, p *pool, c *call) {
+	c.worker.probedAt = now
+	space := c.worker.space(now)
+	for _, j := range slices.Backward(p.waiting) {
+		if len(j.pending) > 0 && j.ResultBytes <= space {
+			c.add(j)
+			s.send(now, p, c)
+			return
+		}
+	}
+}
+
 // share returns how many pieces the worker should take: all that fit, or a part if
 // others are idle beside it, as a call of fewer pieces ends sooner.
 func (p *pool) share(now time.Time, w *worker) int {
--- a/flow/event.go
+++ b/flow/event.go
@@ -193,7 +193,7 @@
 		Reason Reason
 	}
 	// Free gives results of stages up.
-	Free struct{ Jobs []FreeJob }
+	Free struct{ Results []batch.Result }
 	// Withdraw takes the open stages of a request back.
 	Withdraw struct {
 		Number uint64
@@ -208,12 +208,6 @@
 	Noted struct{ Note Note }
 )
 
-// A FreeJob is the results that a service's owner is to free.
-type FreeJob struct {
-	Service string
-	Results []batch.Result
-}
-
 func (RunStage) FlowEffect() {}
 func (Send) FlowEffect()     {}
 func (Deliver) FlowEffect()  {}
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -252,7 +252,7 @@
 			t.Errorf("second job is %+v", job)
 		}
 		r.stageDone(1, "b", "h3")
-		if freed := find[Free](r).Jobs[0].Results; len(freed) != 2 {
+		if freed := find[Free](r).Results; len(freed) != 2 {
 			t.Errorf("%d results are freed once they are used, want 2", len(freed))
 		}
 		send := find[Send](r)
@@ -261,7 +261,7 @@
 		}
 		r.answer(1, http.StatusOK, false)
 		r.step(Began{Number: r.number, Attempt: 1})
-		if freed := find[Free](r).Jobs[0].Results; len(freed) != 1 {
+		if freed := find[Free](r).Results; len(freed) != 1 {
 			t.Errorf("%d results are freed at the first event, want 1", len(freed))
 		}
 	})
--- a/relay/client.go
+++ b/relay/client.go
@@ -142,21 +142,21 @@
 		defer cancel()
 		event := x.server.runStage(ctx, number, job)
 		if ctx.Err() != nil {
-			x.server.discard(job.Service, event)
+			x.server.discard(event)
 			return
 		}
 		select {
 		case x.events <- event:
 		case <-ctx.Done():
-			x.server.discard(job.Service, event)
+			x.server.discard(event)
 		}
 	}()
 }
 
 // discard frees the results of a stage that nobody waits for any more.
-func (s *Server) discard(service string, event flow.Event) {
+func (s *Server) discard(event flow.Event) {
 	if done, ok := event.(flow.StageDone); ok {
-		s.releases.add([]flow.FreeJob{{Service: service, Results: done.Results}})
+		s.releases.add(done.Results)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -147,7 +147,7 @@
 		case flow.Noted:
 			s.log(e.Note)
 		case flow.Free:
-			s.releases.add(e.Jobs)
+			s.releases.add(e.Results)
 		default:
 			rest = append(rest, e)
 		}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -17,7 +17,7 @@
 // owners cannot be reached.
 const maxOwners = 3
 
-// runStage has a job done by the owner of its service and returns its end. An
+// runStage has a job done by the owner of the stages and returns its end. An
 // owner that cannot be reached costs a repeat: the next one takes the job.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) flow.Event {
 	for range maxOwners {
@@ -167,29 +167,24 @@
 	return &peerpb.ReleaseReply{}, nil
 }
 
-// releases gathers results to be freed, so that one call to an owner frees those
+// releases gathers results to be freed, so that one call to the owner frees those
 // of many requests. The zero value is empty.
 type releases struct {
-	mu        sync.Mutex
-	byService map[string][]batch.Result
+	mu      sync.Mutex
+	results []batch.Result
 }
 
-func (r *releases) add(jobs []flow.FreeJob) {
+func (r *releases) add(results []batch.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.byService == nil {
-		r.byService = make(map[string][]batch.Result)
-	}
-	for _, j := range jobs {
-		r.byService[j.Service] = append(r.byService[j.Service], j.Results...)
-	}
+	r.results = append(r.results, results...)
 }
 
-func (r *releases) take() map[string][]batch.Result {
+func (r *releases) take() []batch.Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	taken := r.byService
-	r.byService = nil
+	taken := r.results
+	r.results = nil
 	return taken
 }
 
@@ -200,16 +195,16 @@
 	releaseTimeout = time.Second
 )
 
-// releaseLoop passes the results to be freed to their owners.
+// releaseLoop passes the results to be freed to the owner.
 func (s *Server) releaseLoop() {
 	for s.sleep(releaseEvery) {
-		for service, results := range s.releases.take() {
-			go s.release(service, results)
+		if results := s.releases.take(); len(results) > 0 {
+			go s.release(results)
 		}
 	}
 }
 
-func (s *Server) release(service string, results []batch.Result) {
+func (s *Server) release(results []batch.Result) {
 	node := s.ownerOf()
 	if node.ID == s.self.ID {
 		s.owner.step(batch.Release{Results: results})
