Do not call a worker slow before its call has ended

A call is also long because another owner's call is before it, and its worker was then passed over for seconds.

--- a/batch/pool.go
+++ b/batch/pool.go
@@ -129,7 +129,6 @@
 func (s *Scheduler) pump(now time.Time, p *pool) {
 	s.expire(now, p)
 	for _, w := range p.workers {
-		w.notice(now)
 		if len(w.unwanted) > 0 && now.Sub(w.freedAt) >= freePace {
 			s.emit(Free{Worker: w.upstream, Handles: w.unwanted})
 			w.unwanted, w.freedAt = nil, now
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -78,16 +78,6 @@
 	}
 }
 
-// notice learns from a call that has taken too long already that the worker is slow.
-func (w *worker) notice(now time.Time) {
-	if w.call == nil {
-		return
-	}
-	if ratio := float64(now.Sub(w.call.sent)) / float64(w.call.expect); ratio > slowFactor {
-		w.slow = max(w.slow, ratio)
-	}
-}
-
 // usable reports whether the worker can be sent calls at all.
 func (w *worker) usable(now time.Time) bool {
 	return !w.upstream.Draining && !w.health.Suspect(now)
