Take a leaving owner's own jobs to the next, and tell runs of stages apart

Cause, found by reading: (1) a leaving owner gave its own requests' waiting jobs back and then refused the requests with 503; (2) when stages were run again, the taking back of the run before could end the new job of the same name, whose request then waited until its deadline; (3) a configuration that dropped a stage service while its calls were under way crashed the scheduler.

Change: the next owner takes such jobs; a job's name holds the run; a service is kept while it has jobs. Tests: relay.TestOwnerLeaves (three and more 503 of 16 before), batch.TestServiceIsDropped (panicked before), batch.TestWithdrawOfRunBefore (could not be written before, as both jobs had one name).

--- a/batch/admit.go
+++ b/batch/admit.go
@@ -11,13 +11,17 @@
 		if p == nil {
 			continue
 		}
-		s.expectNot(Ref{j.Ref.Request, need.Stage})
-		s.coming[Ref{j.Ref.Request, need.Stage}] = coming{need, j.Finish}
-		s.lapses.Add(j.Finish.Add(comeLate), Ref{j.Ref.Request, need.Stage})
+		ref := j.later(need)
+		s.expectNot(ref)
+		s.coming[ref] = coming{need, j.Finish}
+		s.lapses.Add(j.Finish.Add(comeLate), ref)
 		p.coming += need.Pieces
 	}
 }
 
+// later names the job of a stage that the request will need.
+func (j Job) later(need Need) Ref { return Ref{j.Ref.Request, need.Stage, j.Ref.Run} }
+
 // A coming is a stage that an admitted request will need, which is due at a time.
 type coming struct {
 	Need
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -90,7 +90,7 @@
 	case Submit:
 		s.submit(now, e.Job)
 	case Withdraw:
-		s.withdraw(now, e.Ref)
+		s.withdraw(e.Ref)
 	case Release:
 		s.release(e.Results)
 	case Returned:
@@ -100,7 +100,7 @@
 	case Reported:
 		s.reported(now, e)
 	case Workers:
-		s.update(now, e)
+		s.update(e)
 	case Leave:
 		s.leave()
 	case Tick:
@@ -119,14 +119,6 @@
 // Len returns the number of jobs under way.
 func (s *Scheduler) Len() int { return len(s.jobs) }
 
-// Waiting returns the number of pieces that wait for a worker of a service.
-func (s *Scheduler) Waiting(service string) int {
-	if p := s.pools[service]; p != nil {
-		return p.queued("")
-	}
-	return 0
-}
-
 func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *Scheduler) submit(now time.Time, j Job) {
@@ -184,7 +176,7 @@
 func (s *Scheduler) drop(j *job) {
 	delete(s.jobs, j.Ref)
 	for _, need := range j.Ahead {
-		s.expectNot(Ref{j.Ref.Request, need.Stage})
+		s.expectNot(j.later(need))
 	}
 	j.pending = nil
 	var made []Result
@@ -209,7 +201,7 @@
 	}
 }
 
-func (s *Scheduler) withdraw(now time.Time, ref Ref) {
+func (s *Scheduler) withdraw(ref Ref) {
 	j := s.jobs[ref]
 	if j == nil {
 		return
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -348,3 +348,37 @@
 		t.Errorf("%d results were freed, want 1", r.freed)
 	}
 }
+
+// The stages of a request are run again while one of the run before is still taken
+// back: that ends the old one only.
+func TestWithdrawOfRunBefore(t *testing.T) {
+	r := newRig(t, "a1")
+	r.submit("busy", "a", 1, time.Second)
+	job := Job{Ref: Ref{Request: "r"}, Service: "s", Pieces: 1, ResultBytes: 10, Key: "k", Zone: "a",
+		Due: r.now.Add(time.Second), Finish: r.now.Add(time.Second), Deadline: r.now.Add(time.Second)}
+	r.step(Submit{Job: job})
+	again := job
+	again.Ref.Run = 1
+	r.step(Submit{Job: again})
+	r.step(Withdraw{Ref: job.Ref})
+	r.run(time.Second)
+	r.wantDone(again.Ref, 1)
+	if r.done[job.Ref] != nil {
+		t.Error("the run that was taken back was done as well")
+	}
+}
+
+// A version of the configuration drops a stage service while calls to its workers
+// are under way: their jobs end as they would have.
+func TestServiceIsDropped(t *testing.T) {
+	r := newRig(t, "a1")
+	ref := r.submit("job", "a", 1, 2*time.Second)
+	r.step(Workers{})
+	r.calls = nil
+	r.step(Returned{Call: 1, Failure: Full})
+	r.run(3 * time.Second)
+	r.step(Withdraw{Ref: ref})
+	if r.sched.Len() != 0 {
+		t.Errorf("%d jobs are left, want none", r.sched.Len())
+	}
+}
--- a/batch/event.go
+++ b/batch/event.go
@@ -6,10 +6,13 @@
 	"teaselplank/fleet"
 )
 
-// A Ref names a job: one stage of one request.
+// A Ref names a job: one stage of one run of a request.
 type Ref struct {
 	Request string
 	Stage   int
+	// Run counts how often the stages of the request were begun anew, so that
+	// what belongs to a run before does not touch this one.
+	Run int
 }
 
 // A Job is the work of one stage of one request.
--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -152,7 +152,7 @@
 			r.step(Submit{Job: Job{Ref: ref, Service: "s", Pieces: 1, ResultBytes: c.bytes, Key: "k", Zone: "a",
 				Due: r.now.Add(time.Second), Finish: r.now.Add(time.Second), Deadline: r.now.Add(time.Second)}})
 			r.run(300 * time.Millisecond)
-			r.step(Submit{Job: Job{Ref: Ref{"r", 1}, Service: "s", Pieces: 1, ResultBytes: 1, Inputs: []string{r.done[ref][0].Handle},
+			r.step(Submit{Job: Job{Ref: Ref{"r", 1, 0}, Service: "s", Pieces: 1, ResultBytes: 1, Inputs: []string{r.done[ref][0].Handle},
 				OnlyUser: true, Begun: true, Zone: "a", Due: r.now.Add(time.Second), Deadline: r.now.Add(time.Second)}})
 			r.run(100 * time.Millisecond)
 			if r.freed != c.want {
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -25,13 +25,16 @@
 }
 
 // update takes in services and upstreams. Workers that go lose their results.
-func (s *Scheduler) update(now time.Time, e Workers) {
-	known := make(map[string]bool)
+func (s *Scheduler) update(e Workers) {
+	kept := make(map[string]bool)
+	for _, j := range s.jobs {
+		kept[j.Service] = true
+	}
 	for _, service := range e.Services {
 		if service.Batch == nil {
 			continue
 		}
-		known[service.Name] = true
+		kept[service.Name] = true
 		p := s.pools[service.Name]
 		if p == nil {
 			p = &pool{name: service.Name}
@@ -40,8 +43,8 @@
 		p.batch = *service.Batch
 		p.update(e.Upstreams)
 	}
-	for name, p := range s.pools {
-		if !known[name] && len(p.waiting) == 0 {
+	for name := range s.pools {
+		if !kept[name] {
 			delete(s.pools, name)
 		}
 	}
--- a/flow/stages.go
+++ b/flow/stages.go
@@ -37,7 +37,7 @@
 	s := r.route.Stages[i]
 	r.stages[i].asked, r.stages[i].askedAt = true, now
 	job := batch.Job{
-		Ref: batch.Ref{Request: r.ID, Stage: i}, Service: s.Service, Pieces: r.pieces(i),
+		Ref: batch.Ref{Request: r.ID, Stage: i, Run: r.restarts}, Service: s.Service, Pieces: r.pieces(i),
 		ResultBytes: s.ResultBytes, Zone: r.zone, Deadline: r.deadline, Rank: r.rank,
 		Begun: n.begun(r), Ahead: n.ahead(r, i),
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -452,6 +452,35 @@
 	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
 }
 
+// The owner of the stages is stopped while jobs wait for its workers: they are done
+// by the next owner, also those of its own requests.
+func TestOwnerLeaves(t *testing.T) {
+	d := deploy(t, 2)
+	d.await("both nodes have one owner", func() bool {
+		return d.nodes[0].server.ownerOf().ID == d.nodes[1].server.ownerOf().ID
+	})
+	for _, w := range d.workers {
+		if w.Kind == stand.Stage {
+			w.Pace = 150 * time.Millisecond
+		}
+	}
+	var group sync.WaitGroup
+	results := make([]result, 16)
+	for i := range results {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			results[i] = d.askAs(d.nodes[i%2], fmt.Sprint("leave-", i), stand.PathStream)
+		}()
+	}
+	time.Sleep(60 * time.Millisecond)
+	d.nodes[0].stop()
+	group.Wait()
+	for _, r := range results {
+		wantStatus(t, r, http.StatusOK)
+	}
+}
+
 // The owner of the stages dies without a word: requests go on.
 func TestOwnerDies(t *testing.T) {
 	d := deploy(t, 2)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -24,6 +24,9 @@
 		node := s.ownerOf()
 		if node.ID == s.self.ID {
 			e := s.owner.run(ctx, job)
+			if refused, ok := e.(batch.Refused); ok && refused.Reason == batch.ReasonMoved {
+				continue // This node leaves; the next owner takes the job.
+			}
 			return stageEvent(number, job, e)
 		}
 		if e, ok := s.runRemote(ctx, node, number, job); ok {
@@ -82,7 +85,7 @@
 		ResultBytes: job.ResultBytes, Key: job.Key, Inputs: job.Inputs, Zone: job.Zone,
 		DueMs: job.Due.Sub(now).Milliseconds(), LeftMs: job.Deadline.Sub(now).Milliseconds(),
 		Rank: int32(job.Rank), Begun: job.Begun, Ahead: needMessages(job.Ahead), FinishMs: job.Finish.Sub(now).Milliseconds(),
-		OnlyUser: job.OnlyUser,
+		OnlyUser: job.OnlyUser, Run: int32(job.Ref.Run),
 	})
 	if outer.Err() != nil {
 		// The client has left, or the time is over.
@@ -138,7 +141,7 @@
 	s := t.server
 	now := s.now()
 	job := batch.Job{
-		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage())}, Service: m.GetService(),
+		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage()), Run: int(m.GetRun())}, Service: m.GetService(),
 		Pieces: int(m.GetPieces()), ResultBytes: m.GetResultBytes(), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Zone: m.GetZone(), Due: now.Add(milliseconds(m.GetDueMs())), Deadline: now.Add(milliseconds(m.GetLeftMs())),
 		Rank: int(m.GetRank()), Begun: m.GetBegun(), Finish: now.Add(milliseconds(m.GetFinishMs())),
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -324,17 +325,20 @@
 func (s *Server) tellSelf() error {
 	value, err := json.Marshal(s.self)
 	if err != nil {
-		return err
+		return fmt.Errorf("encode entry of node %q: %w", s.self.ID, err)
 	}
 	ctx, cancel := context.WithTimeout(s.context, newestTimeout)
 	defer cancel()
-	return s.registry.Put(ctx, plat.StreamNodes, plat.KeyedRecord{Key: s.self.ID, Value: value})
+	if err := s.registry.Put(ctx, plat.StreamNodes, plat.KeyedRecord{Key: s.self.ID, Value: value}); err != nil {
+		return fmt.Errorf("write entry of node %q: %w", s.self.ID, err)
+	}
+	return nil
 }
 
 func (s *Server) readNodes() error {
 	records, _, err := s.newest(plat.StreamNodes)
 	if err != nil {
-		return err
+		return fmt.Errorf("read nodes: %w", err)
 	}
 	var nodes []member.Node
 	for _, r := range records {
