Take entries of upstreams in their order, and keep leaving ones out

Cause, found by reading: of an entry that cannot be read and a good one of the same upstream in one read, the good one was taken first and then removed, until the next heartbeat; and a leaving upstream whose entry was gone for a moment could come back by an old entry of the same process.

Change: entries are parsed to a list in their order; what was known to leave stays so for its process. Tests relay.TestEntriesOfOneRead and TestLeavingIsKept failed first. Tests besides, without changes: faults of settings files all at once, a stuck log output, an unreadable configuration and entry, also at the start.

--- /dev/null
+++ b/conf/entry_test.go
@@ -0,0 +1,63 @@
+package conf
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodEntry = `[node]
+id = entry-1
+zone = a
+grace = 8s
+memory = 284MiB
+[listen]
+callers = 10.0.0.1:1
+ready = 10.0.0.1:2
+peers = 10.0.0.1:3
+metrics = 10.0.0.1:4
+[platform]
+store = 10.0.0.9:5
+[members]
+seeds = 10.0.0.1:3,10.0.0.2:3
+[repeats]
+ratio = 0.2
+slack = 54
+window = 10s
+`
+
+func TestParseEntry(t *testing.T) {
+	e, err := ParseEntry("node.ini", []byte(goodEntry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e.Node != "entry-1" || e.Grace != 8*time.Second || e.Memory != 284<<20 || len(e.Seeds) != 2 || e.Budget.Slack != 54 {
+		t.Errorf("settings are %+v", e)
+	}
+	t.Run("no seeds", func(t *testing.T) {
+		e, err := ParseEntry("node.ini", []byte(strings.Replace(goodEntry, "10.0.0.1:3,10.0.0.2:3", "", 1)))
+		if err != nil || len(e.Seeds) != 0 {
+			t.Errorf("seeds are %v (%v), want none", e.Seeds, err)
+		}
+	})
+}
+
+// A bad file shows all its faults at once, each with its place.
+func TestParseEntryFaults(t *testing.T) {
+	bad := strings.NewReplacer("id = entry-1\n", "", "10.0.0.9:5", "store", "grace = 8s", "grace = soon", "ratio = 0.2", "ratio = -1", "[members]", "[others]").Replace(goodEntry)
+	_, err := ParseEntry("node.ini", []byte(bad))
+	if err == nil {
+		t.Fatal("a bad file is taken")
+	}
+	for _, want := range []string{
+		"node.ini: [node] id: key is missing",
+		`node.ini:3: [node] grace: "soon" is not a duration`,
+		`node.ini:11: [platform] store: "store" is not an IP address and a port`,
+		"node.ini:12: [others]: section does not exist",
+		`node.ini:15: [repeats] ratio: "-1" is not a number`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("faults are\n%v\nwithout %q", err, want)
+		}
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"teaselplank/budget"
 	"teaselplank/conf"
+	"teaselplank/plat"
 	"teaselplank/platform"
 	"teaselplank/platform/stand"
 )
@@ -400,6 +401,39 @@
 	wantStatus(t, d.ask(alone, stand.PathSafe), http.StatusOK)
 }
 
+// A configuration that cannot be read changes nothing, and entries that cannot be
+// read name no worker; the others hold.
+func TestUnreadableRecords(t *testing.T) {
+	d := deploy(t, 1)
+	d.store.BreakConfig()
+	d.workers["desk-a"].Mute()
+	d.store.BreakEntry("desk-a")
+	d.await("the worker is not known any more", func() bool {
+		d.nodes[0].server.mu.Lock()
+		defer d.nodes[0].server.mu.Unlock()
+		_, known := d.nodes[0].server.directory.Get("desk-a")
+		return !known
+	})
+	before := d.workers["desk-a"].Total()
+	for range 5 {
+		wantStatus(t, d.ask(d.nodes[0], stand.PathSafe), http.StatusOK)
+	}
+	if got := d.workers["desk-a"].Total(); got != before {
+		t.Errorf("a worker without a readable entry got %d requests", got-before)
+	}
+	t.Run("at the start", func(t *testing.T) {
+		d := deploy(t, 0)
+		d.store.BreakConfig()
+		n := d.addNode("alone")
+		d.await("the node answers", func() bool { return d.ask(n, "/none/").err == nil })
+		time.Sleep(300 * time.Millisecond)
+		wantStatus(t, d.ask(n, "/none/"), http.StatusServiceUnavailable)
+		if d.isReady(n) {
+			t.Error("a node without a configuration is ready")
+		}
+	})
+}
+
 // Versions of the configuration come into force, only ever newer ones, also after
 // the store has forgotten the records between.
 func TestConfiguration(t *testing.T) {
@@ -523,3 +557,59 @@
 	})
 	d.wantRuns(r.id, stand.ServiceEngine, 0, 0)
 }
+
+// A worker that leaves is kept out also if its entry is gone for a while and an old
+// one of the same process comes back.
+func TestLeavingIsKept(t *testing.T) {
+	d := deploy(t, 1)
+	s := d.nodes[0].server
+	w := d.workers["desk-a"]
+	w.Mute()
+	ready, err := w.Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Drain()
+	leaving, err := w.Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.takeUpstreams([]plat.KeyedRecord{{Key: "desk-a", Value: leaving}, {Key: "desk-a"}}, false)
+	s.takeUpstreams([]plat.KeyedRecord{{Key: "desk-a", Value: ready}}, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u, known := s.directory.Get("desk-a"); !known || !u.Draining {
+		t.Errorf("worker is known: %v, leaving: %v, want both", known, u.Draining)
+	}
+}
+
+// An entry that cannot be read and a good one of the same upstream come in one read:
+// the last one holds.
+func TestEntriesOfOneRead(t *testing.T) {
+	d := deploy(t, 1)
+	s := d.nodes[0].server
+	good, err := d.workers["desk-a"].Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := plat.KeyedRecord{Key: "desk-a", Value: []byte("{")}
+	for _, c := range []struct {
+		name    string
+		records []plat.KeyedRecord
+		want    bool
+	}{
+		{"good last", []plat.KeyedRecord{bad, {Key: "desk-a", Value: good}}, true},
+		{"bad last", []plat.KeyedRecord{{Key: "desk-a", Value: good}, bad}, false},
+		{"removed last", []plat.KeyedRecord{{Key: "desk-a", Value: good}, {Key: "desk-a"}}, false},
+		{"good again", []plat.KeyedRecord{{Key: "desk-a"}, bad, {Key: "desk-a", Value: good}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s.takeUpstreams(c.records, false)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if _, known := s.directory.Get("desk-a"); known != c.want {
+				t.Errorf("worker is known: %v, want %v", known, c.want)
+			}
+		})
+	}
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -181,31 +181,21 @@
 	s.memberStep(member.Told{Version: config.Version})
 }
 
-// takeUpstreams takes in entries of upstreams. An entry that cannot be read names
-// no upstream; one that could be read before is gone.
+// takeUpstreams takes in entries of upstreams: all of them, or changes in their
+// order.
 func (s *Server) takeUpstreams(records []plat.KeyedRecord, all bool) {
 	now := s.now()
-	var found []fleet.Upstream
-	for _, r := range records {
-		if len(r.Value) == 0 {
-			continue
-		}
-		u, err := s.protocol.ParseUpstream(r.Key, r.Value)
-		if err != nil {
-			s.metrics.invalid("upstream")
-			continue
-		}
-		found = append(found, u)
-	}
+	entries := s.parseEntries(records)
 	s.mu.Lock()
 	s.registered = true
 	before := s.directory.Len()
-	marks := s.leaving(found)
-	changed := false
+	marks := s.leaving(entries)
+	s.keepLeaving(entries)
+	var changed bool
 	if all {
-		changed = s.directory.Replace(now, found)
+		changed = s.directory.Replace(now, named(entries))
 	} else {
-		changed = s.apply(now, records, found)
+		changed = s.apply(now, entries)
 	}
 	after := s.directory.Len()
 	s.mu.Unlock()
@@ -219,25 +209,69 @@
 	}
 }
 
+// keepLeaving marks the upstreams that were known to leave before, also if their
+// entry was gone in between. The lock must be held.
+func (s *Server) keepLeaving(entries []entry) {
+	for i := range entries {
+		u := &entries[i].upstream
+		u.Draining = u.Draining || s.group.IsLeaving(u.ID, strconv.FormatInt(u.Born, 10))
+	}
+}
+
+// An entry is a record of an upstream. It names none if the record removes it or
+// cannot be read.
+type entry struct {
+	id       string
+	named    bool
+	upstream fleet.Upstream
+}
+
+func (s *Server) parseEntries(records []plat.KeyedRecord) []entry {
+	entries := make([]entry, len(records))
+	for i, r := range records {
+		entries[i].id = r.Key
+		if len(r.Value) == 0 {
+			continue
+		}
+		u, err := s.protocol.ParseUpstream(r.Key, r.Value)
+		if err != nil {
+			s.metrics.invalid("upstream")
+			continue
+		}
+		entries[i].named, entries[i].upstream = true, u
+	}
+	return entries
+}
+
+// named returns the upstreams that the entries name.
+func named(entries []entry) []fleet.Upstream {
+	var upstreams []fleet.Upstream
+	for _, e := range entries {
+		if e.named {
+			upstreams = append(upstreams, e.upstream)
+		}
+	}
+	return upstreams
+}
+
 // apply takes in changes in their order. The lock must be held.
-func (s *Server) apply(now time.Time, records []plat.KeyedRecord, found []fleet.Upstream) bool {
+func (s *Server) apply(now time.Time, entries []entry) bool {
 	changed := false
-	for _, r := range records {
-		if len(found) > 0 && found[0].ID == r.Key && len(r.Value) > 0 {
-			changed = s.directory.Put(found[0]) || changed
-			found = found[1:]
-			continue
+	for _, e := range entries {
+		if e.named {
+			changed = s.directory.Put(e.upstream) || changed
+		} else {
+			changed = s.directory.Remove(now, e.id) || changed
 		}
-		changed = s.directory.Remove(now, r.Key) || changed
 	}
 	return changed
 }
 
 // leaving returns the marks of upstreams that say they leave, as far as that is
 // news. The lock must be held.
-func (s *Server) leaving(found []fleet.Upstream) []member.Mark {
+func (s *Server) leaving(entries []entry) []member.Mark {
 	var marks []member.Mark
-	for _, u := range found {
+	for _, u := range named(entries) {
 		known, ok := s.directory.Get(u.ID)
 		if u.Draining && (!ok || !known.Draining) {
 			marks = append(marks, member.Mark{Host: u.ID, Incarnation: strconv.FormatInt(u.Born, 10)})
