Split the relay's tests from the deployment that they run

Change: world_test.go holds the deployment of nodes and stand-ins with its checks, relay_test.go the tests; nothing else changes.

--- /dev/null
+++ b/relay/world_test.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselplank/budget"
+	"teaselplank/conf"
+	"teaselplank/platform"
+	"teaselplank/platform/stand"
+)
+
+// A deployment is nodes before workers, on the loopback address.
+type deployment struct {
+	t       *testing.T
+	store   *stand.Store
+	address string
+	workers map[string]*stand.Worker
+	nodes   []*testNode
+	number  int
+}
+
+type testNode struct {
+	server *Server
+	stop   context.CancelFunc
+	ended  chan error
+	addr   string
+	ready  string
+}
+
+// deploy starts a store, two workers of each service in two zones, and nodes.
+func deploy(t *testing.T, nodes int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: &stand.Store{}, workers: make(map[string]*stand.Worker)}
+	listener := httptest.NewServer(d.store)
+	t.Cleanup(listener.Close)
+	d.address = strings.TrimPrefix(listener.URL, "http://")
+	stand.Configure(d.store, 1)
+	for _, zone := range []string{"a", "b"} {
+		d.start(&stand.Worker{ID: "desk-" + zone, Service: stand.ServiceDesk, Zone: zone, Kind: stand.Plain, Slots: 4})
+		d.start(&stand.Worker{ID: "engine-" + zone, Service: stand.ServiceEngine, Zone: zone, Kind: stand.Engine, Slots: 16, Events: 6, Pace: 2 * time.Millisecond})
+		d.start(&stand.Worker{ID: "encode-" + zone, Service: stand.ServiceEncode, Zone: zone, Kind: stand.Stage, Pace: 20 * time.Millisecond})
+		d.start(&stand.Worker{ID: "rank-" + zone, Service: stand.ServiceRank, Zone: zone, Kind: stand.Stage, Pace: 20 * time.Millisecond})
+	}
+	for i := range nodes {
+		d.addNode(fmt.Sprint("node-", i))
+	}
+	for _, n := range d.nodes {
+		d.await("node is ready", func() bool { return d.isReady(n) })
+	}
+	return d
+}
+
+func (d *deployment) start(w *stand.Worker) {
+	d.t.Helper()
+	if err := w.Start(d.store); err != nil {
+		d.t.Fatal(err)
+	}
+	d.workers[w.ID] = w
+	d.t.Cleanup(w.Crash)
+}
+
+// freeAddress returns an address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) addNode(id string) *testNode {
+	d.t.Helper()
+	settings := &conf.Entry{
+		Node: id, Zone: "a", Callers: freeAddress(d.t), Ready: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
+		Store: d.address, Budget: budget.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: 6 * time.Second,
+	}
+	server, err := New(Options{
+		Settings: settings, Registry: platform.NewStore(d.address), Protocol: platform.Adapter{},
+		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{server: server, stop: stop, ended: make(chan error, 1), addr: settings.Callers, ready: settings.Ready}
+	go func() { n.ended <- server.Serve(ctx) }()
+	d.t.Cleanup(func() {
+		stop()
+		server.close()
+	})
+	d.nodes = append(d.nodes, n)
+	return n
+}
+
+func (d *deployment) isReady(n *testNode) bool {
+	r, err := http.Get("http://" + n.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (d *deployment) await(what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Fatalf("it does not come to pass that %s", what)
+}
+
+// A result is a whole answer as a client sees it.
+type result struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request of a new id to a node and returns the whole answer.
+func (d *deployment) ask(n *testNode, path string, change ...func(*http.Request)) result {
+	d.number++
+	return d.askAs(n, fmt.Sprint("id-", d.number), path, change...)
+}
+
+func (d *deployment) askAs(n *testNode, id, path string, change ...func(*http.Request)) result {
+	r, err := stand.NewRequest(n.addr, path, id)
+	if err != nil {
+		d.t.Error(err)
+		return result{}
+	}
+	for _, c := range change {
+		c(r)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{id: id, err: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+}
+
+func wantStatus(t *testing.T, r result, status int) {
+	t.Helper()
+	if r.err != nil || r.status != status {
+		t.Errorf("answer is %d %q (%v), want %d", r.status, r.body, r.err, status)
+	}
+}
+
+// wantRuns checks how often a request was run by the workers of a service.
+func (d *deployment) wantRuns(id, service string, least, most int) {
+	d.t.Helper()
+	runs := 0
+	for _, w := range d.workers {
+		if w.Service == service {
+			runs += w.Runs(id)
+		}
+	}
+	if runs < least || runs > most {
+		d.t.Errorf("request %s was run %d times by %q, want %d to %d", id, runs, service, least, most)
+	}
+}
+
+func (d *deployment) breakAll(service string, f stand.Fault) {
+	for _, w := range d.workers {
+		if w.Service == service {
+			w.Break(f)
+		}
+	}
+}
+
+const allEvents = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n" +
+	"id: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n"
