Free results only once all stages that need them are done, and merge twins

Cause, found by reading the whole change: of two stages that need the same results, the later one's end freed them although the other still needed them; the loop over the stages that need a stage stood four times, and this copy was wrong. Reading the nodes from the store logged neither its loss nor its return; the dump's counts of batch were never filled.

Change: one function lists the users of a stage and serves freeing, order, prediction and inputs; the test of two users failed first.

--- a/batch/free.go
+++ b/batch/free.go
@@ -6,9 +6,6 @@
 // here and are freed all the same.
 func (s *Scheduler) release(results []Result) {
 	for _, r := range results {
-		if _, freed := s.freedLately.Get(r.Handle); freed {
-			continue
-		}
 		for _, p := range s.pools {
 			if w := p.byAddr[r.Addr]; w != nil {
 				s.free(w, r.Handle)
--- a/flow/attempt.go
+++ b/flow/attempt.go
@@ -75,7 +75,7 @@
 		LastEvent: r.lastEvent, Deadline: r.deadline,
 	}
 	for i := range r.stages {
-		if n.isLast(r, i) {
+		if len(r.users(i)) == 0 {
 			for _, result := range r.stages[i].results {
 				s.Inputs = append(s.Inputs, result.Handle)
 			}
@@ -87,18 +87,6 @@
 	return s
 }
 
-// isLast reports whether no other stage needs the results of a stage.
-func (n *Node) isLast(r *request, stage int) bool {
-	for i, s := range r.route.Stages {
-		for _, before := range s.After {
-			if before == stage && r.pieces(i) > 0 {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // answered decides what to do with an answer, by its head.
 func (n *Node) answered(now time.Time, e Answered) {
 	r := n.requests[e.Number]
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -265,6 +265,25 @@
 			t.Errorf("%d results are freed at the first event, want 1", len(freed))
 		}
 	})
+	t.Run("two stages need the results of one", func(t *testing.T) {
+		r := newRig(t)
+		c := testConfig()
+		c.Version = 2
+		c.Routes[2].Stages = append(c.Routes[2].Stages, fleet.Stage{Service: "second", After: []int{0}, ResultBytes: 10})
+		r.step(Configured{Table: fleet.NewTable(c)})
+		r.arrive("/stream/1", 1, 1, 1)
+		r.stageDone(0, "a", "h1")
+		r.stageDone(2, "a", "h3")
+		for _, e := range r.effects {
+			if _, ok := e.(Free); ok {
+				t.Error("results are freed that a stage still needs")
+			}
+		}
+		r.stageDone(1, "a", "h2")
+		if freed := find[Free](r).Results; len(freed) != 1 || freed[0].Handle != "h1" {
+			t.Errorf("freed are %+v, want h1", freed)
+		}
+	})
 	t.Run("left out", func(t *testing.T) {
 		r := newRig(t)
 		r.arrive("/stream/1", 0, 0)
--- a/flow/predict.go
+++ b/flow/predict.go
@@ -31,15 +31,8 @@
 // after estimates how long the stages take that need a stage, once it is done.
 func (n *Node) after(r *request, stage int) time.Duration {
 	var longest time.Duration
-	for i, s := range r.route.Stages {
-		if r.pieces(i) == 0 {
-			continue
-		}
-		for _, before := range s.After {
-			if before == stage {
-				longest = max(longest, n.stageTime(r, i)+n.after(r, i))
-			}
-		}
+	for _, user := range r.users(stage) {
+		longest = max(longest, n.stageTime(r, user)+n.after(r, user))
 	}
 	return longest
 }
--- a/flow/stages.go
+++ b/flow/stages.go
@@ -57,11 +57,9 @@
 
 // onlyUser reports whether no other stage needs what a stage needs.
 func (r *request) onlyUser(stage int) bool {
-	for i, s := range r.route.Stages {
-		for _, before := range s.After {
-			if i != stage && r.pieces(i) > 0 && slices.Contains(r.route.Stages[stage].After, before) {
-				return false
-			}
+	for _, before := range r.route.Stages[stage].After {
+		if len(r.users(before)) > 1 {
+			return false
 		}
 	}
 	return true
@@ -112,27 +110,25 @@
 // freeUsed frees the results that every stage which needs them has used.
 func (n *Node) freeUsed(r *request) {
 	for i := range r.stages {
-		if !r.stages[i].done || r.stages[i].freed {
-			continue
-		}
-		used := false
-		for j, s := range r.route.Stages {
-			for _, before := range s.After {
-				if before != i || r.pieces(j) == 0 {
-					continue
-				}
-				used = r.stages[j].done
-				if !used {
-					break
-				}
-			}
-		}
-		if used {
+		users := r.users(i)
+		waits := func(user int) bool { return !r.stages[user].done }
+		if r.stages[i].done && len(users) > 0 && !slices.ContainsFunc(users, waits) {
 			n.free(r, i)
 		}
 	}
 }
 
+// users lists the stages that need the results of a stage.
+func (r *request) users(stage int) []int {
+	var users []int
+	for i, s := range r.route.Stages {
+		if r.pieces(i) > 0 && slices.Contains(s.After, stage) {
+			users = append(users, i)
+		}
+	}
+	return users
+}
+
 func (n *Node) free(r *request, stage int) {
 	s := &r.stages[stage]
 	if s.freed || len(s.results) == 0 {
--- a/relay/client.go
+++ b/relay/client.go
@@ -83,11 +83,11 @@
 func (x *exchange) run() {
 	x.context, x.cancel = context.WithCancel(x.request.Context())
 	defer func() { x.cancel() }()
-	x.perform(x.server.step(flow.Arrive{Request: x.query}))
+	x.step(flow.Arrive{Request: x.query})
 	for !x.final {
 		select {
 		case e := <-x.events:
-			x.perform(x.server.step(e))
+			x.step(e)
 		case <-x.context.Done():
 			x.step(x.ended())
 		}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -105,10 +105,11 @@
 }
 
 func (s *Server) serveDump(w http.ResponseWriter, _ *http.Request) {
+	counts := s.owner.counts()
 	s.mu.Lock()
 	d := dump{
 		Node: s.self.ID, Version: s.version(), Unready: s.node.Unready(), Requests: s.node.Len(),
-		Flow: s.node.Counts(), Upstreams: s.directory.Len(),
+		Flow: s.node.Counts(), Batch: counts, Upstreams: s.directory.Len(),
 	}
 	for _, n := range s.group.Live() {
 		d.Live = append(d.Live, n.ID)
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -115,6 +115,12 @@
 	return o.sched.Len() > 0
 }
 
+func (o *owner) counts() batch.Counts {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sched.Counts()
+}
+
 // call sends pieces to a worker and brings their ends back.
 func (o *owner) call(c batch.Call) {
 	started := time.Now()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -214,7 +214,8 @@
 func (s *Server) keepLeaving(entries []entry) {
 	for i := range entries {
 		u := &entries[i].upstream
-		u.Draining = u.Draining || s.group.IsLeaving(u.ID, strconv.FormatInt(u.Born, 10))
+		mark := markOf(*u)
+		u.Draining = u.Draining || s.group.IsLeaving(mark.Host, mark.Incarnation)
 	}
 }
 
@@ -274,12 +275,18 @@
 	for _, u := range named(entries) {
 		known, ok := s.directory.Get(u.ID)
 		if u.Draining && (!ok || !known.Draining) {
-			marks = append(marks, member.Mark{Host: u.ID, Incarnation: strconv.FormatInt(u.Born, 10)})
+			marks = append(marks, markOf(u))
 		}
 	}
 	return marks
 }
 
+// markOf returns the mark that says of an upstream that it leaves, and parseBorn
+// reads from one when the process started.
+func markOf(u fleet.Upstream) member.Mark {
+	return member.Mark{Host: u.ID, Incarnation: strconv.FormatInt(u.Born, 10)}
+}
+
 func parseBorn(incarnation string) (int64, error) { return strconv.ParseInt(incarnation, 10, 64) }
 
 // upstreamsChanged gives the reducers the upstreams as they are now.
@@ -346,8 +353,8 @@
 		if err == nil {
 			err = s.readNodes()
 		}
+		s.heardStore(plat.StreamNodes, err)
 		if err != nil {
-			s.metrics.store(plat.StreamNodes, false)
 			s.sleep(retryMost)
 			continue
 		}
