--- a/pipe/arrive.go
+++ b/pipe/arrive.go
@@ -83,6 +83,7 @@
 	pools := make([]*pool, len(q.Steps))
 	for i, s := range q.Steps {
 		pools[i] = r.pool(s.Pool)
+		pools[i].stream = s.Stream
 	}
 	return pools
 }
--- a/pipe/attempt.go
+++ b/pipe/attempt.go
@@ -27,7 +27,7 @@
 	r.counts.Calls++
 	step := run.step()
 	ref := Ref{run.request.ID, run.stage, run.count}
-	run.attempts = append(run.attempts, attempt{ref: ref, worker: w, began: now, moved: now, hedge: hedge})
+	run.attempts = append(run.attempts, attempt{ref: ref, worker: w, began: now, moved: now, hedge: hedge, stream: step.Stream})
 	call := Call{
 		Ref: ref, Worker: w, Step: step, Input: run.input, Prefix: run.request.Prefix,
 		Tokens: run.request.Tokens, Deadline: run.request.Deadline,
@@ -100,6 +100,7 @@
 	defer r.arm(run)
 	if a.first.IsZero() {
 		a.first, a.from = now, e.Tokens
+		r.table.Started(a.worker.ID)
 		run.pool().first.record(now, now.Sub(a.began))
 	}
 	run.tokens = e.Tokens
@@ -128,7 +129,7 @@
 	if a.hedge {
 		r.counts.HedgeWins++
 	}
-	r.table.Finish(now, a.worker.ID, route.Answered)
+	r.finish(now, *a, route.Answered)
 	run.addWork(p.name, e.Work)
 	run.drop(e.Ref)
 	r.cancelAll(now, run)
@@ -182,7 +183,7 @@
 		r.counts.Late++
 		return
 	}
-	r.table.Finish(now, a.worker.ID, endOf[e.Failure])
+	r.finish(now, *a, endOf[e.Failure])
 	run.tokens = max(run.tokens, e.Tokens)
 	p := run.pool()
 	run.addWork(p.name, e.Work)
@@ -266,8 +267,16 @@
 	run.attempts = run.attempts[:0]
 }
 
-func (r *Runner) cancel(now time.Time, a attempt, end route.End) {
+// finish tells the table that an attempt has ended.
+func (r *Runner) finish(now time.Time, a attempt, end route.End) {
+	if a.stream && a.first.IsZero() {
+		r.table.Started(a.worker.ID)
+	}
 	r.table.Finish(now, a.worker.ID, end)
+}
+
+func (r *Runner) cancel(now time.Time, a attempt, end route.End) {
+	r.finish(now, a, end)
 	r.counts.Cancelled++
 	if r.config.Cancel {
 		r.emit(Cancel{Ref: a.ref, Worker: a.worker})
@@ -326,7 +335,7 @@
 		return
 	}
 	avoid := append([]string{run.attempts[0].worker.ID}, run.avoid...)
-	if !r.table.HasRoom(now, p.name) || p.budget < hedgeReserve {
+	if !r.table.HasRoom(now, p.name, route.Query{Stream: p.stream}) || p.budget < hedgeReserve {
 		return
 	}
 	w := r.table.Begin(now, p.name, route.Query{Avoid: avoid})
--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -176,6 +176,8 @@
 	from  int
 	// hedge is true for a second attempt beside a slow one.
 	hedge bool
+	// stream is true for an attempt whose first token tells that it started.
+	stream bool
 }
 
 // timerKind says what a timer is for.
@@ -269,6 +271,8 @@
 // A pool is what the runner knows of the workers of one stage or service.
 type pool struct {
 	name string
+	// stream is true for a pool whose calls are answered token by token.
+	stream bool
 	// fair holds the requests that wait; with Fair off all are of one account.
 	fair admit.Fair[string]
 	// urgent holds the requests whose step is tried again; they go first.
--- a/pipe/runner.go
+++ b/pipe/runner.go
@@ -42,13 +42,16 @@
 		r.endWaiting(now, p)
 		return
 	}
-	for p.waiting() > 0 && r.table.HasRoom(now, p.name) {
+	for p.waiting() > 0 && r.table.HasRoom(now, p.name, route.Query{Stream: p.stream}) {
 		id, ok := p.pop()
 		run := r.requests[id]
 		if !ok || run == nil || !run.waiting || run.pool() != p {
 			continue
 		}
-		r.start(now, p, run)
+		if !r.start(now, p, run) {
+			p.urgent = append(p.urgent, id)
+			break
+		}
 	}
 	if p.waiting() > 0 && !p.ticking {
 		p.ticking = true
@@ -85,12 +88,14 @@
 // waitWeight is the weight of the newest sample in a pool's mean wait.
 const waitWeight = 8
 
-func (r *Runner) start(now time.Time, p *pool, run *running) {
+// start sends the step of a request, or ends a request that would be late. It
+// returns false when no worker has room for the step.
+func (r *Runner) start(now time.Time, p *pool, run *running) bool {
 	if r.hopeless(now, run) {
 		r.end(now, run, run.failure(ReasonTooLate))
-		return
+		return true
 	}
-	q := route.Query{Prefix: run.request.Prefix, Avoid: run.avoid}
+	q := route.Query{Prefix: run.request.Prefix, Avoid: run.avoid, Stream: run.step().Stream}
 	if !run.step().Stream {
 		q.Prefix = ""
 	}
@@ -100,8 +105,7 @@
 		w = r.table.Begin(now, p.name, q)
 	}
 	if w == nil {
-		p.urgent = append(p.urgent, run.request.ID)
-		return
+		return false
 	}
 	run.waiting = false
 	waited := now.Sub(run.entered)
@@ -111,6 +115,7 @@
 		p.refill(r.config.RetryPercent)
 	}
 	r.call(now, p, run, w.Host(), false)
+	return true
 }
 
 // lateFactor is the part of the usual time below which a request that is under
--- a/pipe/shares.go
+++ b/pipe/shares.go
@@ -36,7 +36,7 @@
 // worked out, and how much more than what was served is given out, so that the
 // system finds room that has come free.
 const (
-	shortPart   = 0.15
+	shortPart   = 0.35
 	shortHold   = time.Second
 	divideEvery = 250 * time.Millisecond
 	probeFactor = 1.05
--- a/route/policy.go
+++ b/route/policy.go
@@ -17,7 +17,36 @@
 	if w.health.Unsure() && w.flight > 0 {
 		return false // One call shows whether it is back.
 	}
-	return !v.Config.Adaptive || float64(w.flight) < w.limit
+	return !v.Config.Adaptive || float64(w.flight) < w.limit && w.hasSlot(v, q)
+}
+
+// The part of a worker's slots that may be taken for a call to be sent, a little
+// over 1 so that a slot that comes free finds a call; and the part of the slots
+// that streams without a first token may have: in the usual case they start
+// within a fraction of their time.
+const (
+	slotFactor     = 1.2
+	unstartedParts = 4
+)
+
+// hasSlot reports whether the worker would likely start a call at once, so that
+// calls wait here, where they can be reordered and refused, and not there. The
+// node always has its even share of the slots; beyond it the last report counts.
+func (w *Worker) hasSlot(v *View, q Query) bool {
+	if w.load.Slots == 0 {
+		return true
+	}
+	slots, nodes := float64(w.load.Slots), float64(max(v.Config.Nodes, 1))
+	if q.Stream && float64(w.unstarted) >= max(1, slots/nodes/unstartedParts) {
+		return false // Streams of this node wait there, whatever it reports.
+	}
+	share := math.Ceil(slots * slotFactor / nodes)
+	return float64(w.flight) < share || float64(w.flight+w.others()) < slots*slotFactor
+}
+
+// others returns the calls of other nodes in the last report; never negative.
+func (w *Worker) others() int {
+	return max(w.load.Running+w.load.Queued-w.flightThen, 0)
 }
 
 // stale reports whether the worker used to report its load and has stopped.
@@ -29,11 +58,8 @@
 // taken. A reported load counts less the older it is, and this node's own calls
 // count exactly.
 func (w *Worker) pressure(v *View) float64 {
-	others := float64(w.load.Running + w.load.Queued - w.flightThen)
 	age := v.Now.Sub(w.reported)
-	if w.reported.IsZero() || others < 0 {
-		others = 0
-	}
+	others := float64(w.others())
 	others *= math.Exp(-float64(age) / float64(v.Config.ReportLife))
 	slots := float64(max(w.load.Slots, 1))
 	if w.load.Slots == 0 {
--- a/route/route.go
+++ b/route/route.go
@@ -83,6 +83,8 @@
 	Prefix string
 	// Avoid are the ids of workers that must not be picked again.
 	Avoid []string
+	// Stream tells that the call shows when it starts, by its first token.
+	Stream bool
 }
 
 // A Policy picks a worker of the pool, or nil when none has room. It must not
@@ -236,6 +238,9 @@
 	w := t.policy.Pick(t.view(now, p), p, q)
 	if w != nil {
 		w.flight++
+		if q.Stream {
+			w.unstarted++
+		}
 	}
 	return w
 }
@@ -247,20 +252,28 @@
 }
 
 // HasRoom reports whether some worker of the pool can take a call.
-func (t *Table) HasRoom(now time.Time, pool string) bool {
+func (t *Table) HasRoom(now time.Time, pool string, q Query) bool {
 	p := t.pools[pool]
 	if p == nil {
 		return false
 	}
 	v := t.view(now, p)
 	for _, w := range p.subset {
-		if w.Usable(v, Query{}) {
+		if w.Usable(v, q) {
 			return true
 		}
 	}
 	return false
 }
 
+// Started counts the first token of a stream that Begin has begun, or its end
+// without one.
+func (t *Table) Started(id string) {
+	if w := t.byID[id]; w != nil {
+		w.unstarted = max(w.unstarted-1, 0)
+	}
+}
+
 // An End says how a call ended for the worker that had it.
 type End int
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -110,11 +110,57 @@
 			t.Fatalf("worker is %+v", w)
 		}
 	}
-	if !table.HasRoom(late.Add(time.Minute), "p") {
+	if !table.HasRoom(late.Add(time.Minute), "p", Query{}) {
 		t.Error("no worker is used when all reports have stopped")
 	}
 }
 
+// TestHasSlot has the load of a surge: the workers' queues fill, and what they
+// report is late, so that a node goes by what it sees as well.
+func TestHasSlot(t *testing.T) {
+	stream := Query{Stream: true}
+	tests := []struct {
+		name  string
+		load  wire.Load
+		query Query
+		begun int
+		want  bool
+	}{
+		{"no report", wire.Load{}, Query{}, 0, true},
+		{"idle", wire.Load{Slots: 8}, Query{}, 0, true},
+		{"a queue, but the even share is free", wire.Load{Slots: 8, Running: 8, Queued: 9}, Query{}, 2, true},
+		{"a queue, and the even share is taken", wire.Load{Slots: 8, Running: 8, Queued: 9}, Query{}, 3, false},
+		{"over the even share, others have left room", wire.Load{Slots: 8, Running: 4}, Query{}, 3, true},
+		{"a stream that waits for its first token", wire.Load{Slots: 8}, stream, 1, false},
+		{"many slots, as many streams begin at once", wire.Load{Slots: 128}, stream, 7, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(1, Balanced{})
+			table.SetNodes(4)
+			table.Report(start, "w000", test.load)
+			for range test.begun {
+				table.Begin(start, "p", test.query)
+			}
+			if got := table.HasRoom(start, "p", test.query); got != test.want {
+				t.Errorf("room is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestStarted(t *testing.T) {
+	table := newTable(1, Balanced{})
+	table.SetNodes(4)
+	table.Report(start, "w000", wire.Load{Slots: 8})
+	stream := Query{Stream: true}
+	table.Begin(start, "p", stream)
+	table.Started("w000")
+	if table.Begin(start, "p", stream) == nil {
+		t.Error("no second stream is sent after the first token of the first")
+	}
+}
+
 func TestSubset(t *testing.T) {
 	table := newTable(200, Balanced{})
 	if got := table.UsedCount(); got != DefaultConfig().Subset {
--- a/route/worker.go
+++ b/route/worker.go
@@ -12,6 +12,9 @@
 	host wire.Host
 	// flight is the number of this node's calls under way; never negative.
 	flight int
+	// unstarted is how many streams of flight have brought no token yet;
+	// never negative.
+	unstarted int
 	// limit bounds flight; at least minLimit.
 	limit float64
 	// load is the last report, taken at reported with flightThen calls of
