--- a/conf/entry.go
+++ b/conf/entry.go
@@ -32,6 +32,9 @@
 	Grace time.Duration
 	// Memory is the most memory that the process may use, in bytes.
 	Memory int64
+	// Processor is the part of a core that the process has, or 0 if it is not
+	// known. Work for all nodes goes to those that have most.
+	Processor float64
 }
 
 // LoadEntry reads and checks the settings file of an entry host.
@@ -69,6 +72,7 @@
 		{"node", "zone", true, text(&e.Zone)},
 		{"node", "grace", false, duration(&e.Grace, time.Second, time.Hour)},
 		{"node", "memory", false, size(&e.Memory, 32<<20, 1<<40)},
+		{"node", "processor", false, fraction(&e.Processor)},
 
 		{"listen", "callers", true, address(&e.Callers)},
 		{"listen", "ready", true, address(&e.Ready)},
--- a/member/member.go
+++ b/member/member.go
@@ -61,6 +61,9 @@
 	Incarnation string `json:"incarnation"`
 	Addr        string `json:"addr"`
 	Zone        string `json:"zone"`
+	// Processor is the part of a core that the node has, or 0 if it is not
+	// known.
+	Processor float64 `json:"processor,omitempty"`
 	// Beat is raised by the node itself in each round.
 	Beat uint64 `json:"beat"`
 	// Leaving is true once the node has been asked to stop.
--- a/member/message.go
+++ b/member/message.go
@@ -17,7 +17,8 @@
 func (n Node) message() *peerpb.NodeMessage {
 	m := &peerpb.NodeMessage{
 		Id: n.ID, Incarnation: n.Incarnation, Addr: n.Addr, Zone: n.Zone, Beat: n.Beat,
-		Leaving: n.Leaving, Version: n.Version, Rates: make(map[string]float32, len(n.Rates)),
+		Processor: n.Processor,
+		Leaving:   n.Leaving, Version: n.Version, Rates: make(map[string]float32, len(n.Rates)),
 	}
 	for key, rate := range n.Rates {
 		m.Rates[key] = float32(rate)
@@ -41,6 +42,7 @@
 	n := Node{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), Addr: m.GetAddr(), Zone: m.GetZone(),
 		Beat: m.GetBeat(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
+		Processor: m.GetProcessor(),
 	}
 	if len(m.GetRates()) > 0 {
 		n.Rates = make(map[string]float64, len(m.GetRates()))
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -13,6 +13,7 @@
 
 	"teaselplank/fleet"
 	"teaselplank/flow"
+	"teaselplank/health"
 	"teaselplank/member"
 	"teaselplank/peerpb"
 	"teaselplank/wire"
@@ -29,8 +30,8 @@
 type peer struct {
 	gossip peerpb.Peer
 	stages peerpb.Stages
-	// avoidUntil is how long the node is not given work.
-	avoidUntil time.Time
+	// health has the calls that failed since the last that did not.
+	health health.Record
 	// attended are the calls under way that end if the node falls silent.
 	attended map[*context.CancelFunc]bool
 	watched  bool
@@ -42,8 +43,6 @@
 	// gossipTimeout and stateTimeout bound calls to other nodes.
 	gossipTimeout = time.Second
 	stateTimeout  = 2 * time.Second
-	// avoidFor is how long a node that could not be reached is given no work.
-	avoidFor = 1500 * time.Millisecond
 	// pingEvery is how often a node with calls under way is asked whether it is
 	// there, pingTimeout how long it has to answer, and maxPings how many
 	// answers in a row may be missing.
@@ -52,6 +51,9 @@
 	maxPings    = 2
 )
 
+// peerBackoff is how long a node that could not be reached is given no work.
+var peerBackoff = health.Backoff{Least: 1500 * time.Millisecond, Most: 12 * time.Second}
+
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
@@ -88,14 +90,21 @@
 func (p *peers) avoid(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.at(addr).avoidUntil = time.Now().Add(avoidFor)
+	p.at(addr).health.Fail(time.Now(), peerBackoff)
+}
+
+// reached notes that a node has answered.
+func (p *peers) reached(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at(addr).health.Clear()
 }
 
 func (p *peers) avoided(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	one := p.byAddr[addr]
-	return one != nil && time.Now().Before(one.avoidUntil)
+	return one != nil && one.health.Suspect(time.Now())
 }
 
 // attend ends a call if its node falls silent. The function that it returns ends
@@ -145,7 +154,7 @@
 func (p *peers) lose(one *peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one.avoidUntil = time.Now().Add(avoidFor)
+	one.health.Fail(time.Now(), peerBackoff)
 	for cancel := range one.attended {
 		(*cancel)()
 	}
@@ -262,6 +271,7 @@
 		s.metrics.peerFailure("exchange")
 		return
 	}
+	s.peers.reached(g.Addr)
 	s.memberStep(member.Heard{Digest: member.DigestOf(m)})
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"teaselplank/member"
 	"teaselplank/plat"
 	"teaselplank/platform/stand"
 )
@@ -437,3 +439,49 @@
 		})
 	}
 }
+
+func TestCompareOwners(t *testing.T) {
+	tests := []struct {
+		name  string
+		nodes []member.Node
+		want  string
+	}{
+		{"the oldest of equals", []member.Node{{ID: "b", Incarnation: "2"}, {ID: "a", Incarnation: "1"}}, "a"},
+		{"the strongest before the oldest", []member.Node{
+			{ID: "small", Incarnation: "1", Processor: 0.2}, {ID: "large", Incarnation: "2", Processor: 0.8},
+		}, "large"},
+		{"one that tells nothing comes last", []member.Node{
+			{ID: "unknown", Incarnation: "1"}, {ID: "small", Incarnation: "2", Processor: 0.2},
+		}, "small"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := slices.MinFunc(test.nodes, compareOwners); got.ID != test.want {
+				t.Errorf("owner is %s, want %s", got.ID, test.want)
+			}
+		})
+	}
+}
+
+// TestLateHeartbeats has the owner's heartbeats come late, as they do at some node
+// at any time among many.
+func TestLateHeartbeats(t *testing.T) {
+	self := member.Node{ID: "b", Incarnation: "2", Addr: "b:1"}
+	config := member.DefaultConfig()
+	config.Self = self
+	s := &Server{self: self, group: member.New(config, 1), peers: newPeers()}
+	start := time.Now()
+	s.group.Step(start, member.Heard{Digest: member.Digest{From: member.Node{ID: "a", Incarnation: "1", Addr: "a:1"}}})
+	s.group.Step(start.Add(config.SuspectAfter+time.Second), member.Tick{})
+	if got := s.ownerOf(); got.ID != "a" {
+		t.Errorf("owner is %s", got.ID)
+	}
+	s.peers.avoid("a:1")
+	if got := s.ownerOf(); got.ID != "b" {
+		t.Errorf("owner is %s after a call to it failed", got.ID)
+	}
+	s.peers.reached("a:1")
+	if got := s.ownerOf(); got.ID != "a" {
+		t.Errorf("owner is %s after it has answered", got.ID)
+	}
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -49,28 +50,30 @@
 	return flow.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonLate}
 }
 
-// ownerOf returns the node that owns the stage services, as this node sees it: of
-// those that take part, the one that started first, so that nodes that come change
-// nothing. One node owns all services, for whether a request is admitted depends on
-// all stages that it needs.
+// ownerOf returns the node that owns the stage services, as this node sees it. One
+// node owns all services, for whether a request is admitted depends on all stages
+// that it needs. A node whose heartbeats are late still counts, as nodes must agree
+// on the owner and each sees other heartbeats late; calls show whether it is there.
 func (s *Server) ownerOf() member.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := []member.Node{}
-	if !s.group.Self().Leaving {
-		candidates = append(candidates, s.self)
-	}
-	for _, p := range s.group.Peers() {
-		if p.State() == member.Live && !s.peers.avoided(p.Node().Addr) {
-			candidates = append(candidates, p.Node())
-		}
-	}
+	candidates := slices.DeleteFunc(s.group.Live(), func(n member.Node) bool {
+		return n.ID != s.self.ID && s.peers.avoided(n.Addr) || n.Leaving
+	})
 	if len(candidates) == 0 {
 		return s.self
 	}
-	return slices.MinFunc(candidates, func(a, b member.Node) int {
-		return strings.Compare(a.Incarnation, b.Incarnation)
-	})
+	return slices.MinFunc(candidates, compareOwners)
+}
+
+// compareOwners orders nodes by how well they can own the stages: those with most
+// of a processor come first, and of these the one that started first, so that nodes
+// which come seldom change anything.
+func compareOwners(a, b member.Node) int {
+	if a.Processor != b.Processor {
+		return cmp.Compare(b.Processor, a.Processor)
+	}
+	return strings.Compare(a.Incarnation, b.Incarnation)
 }
 
 // runRemote has a job done by another node; ok is false if that could not be
