--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -262,3 +262,32 @@
 		}
 	}
 }
+
+// A backlog of work that is late already meets work that can be on time: the latter
+// goes first, and what is late is done once there is room.
+func TestLateWorkYields(t *testing.T) {
+	r := newRig(t, "a1")
+	submit := func(name string, due time.Duration) Ref {
+		ref := Ref{Request: name}
+		r.step(Submit{Job: Job{
+			Ref: ref, Service: "s", Pieces: 1, ResultBytes: 10, Key: "k", Zone: "a", Begun: true,
+			Due: r.now.Add(due), Deadline: r.now.Add(6 * time.Second),
+		}})
+		return ref
+	}
+	var late, timely []Ref
+	for i := range 3 * testBatch.MaxItems {
+		late = append(late, submit(fmt.Sprint("late", i), 100*time.Millisecond))
+	}
+	for i := range testBatch.MaxItems {
+		timely = append(timely, submit(fmt.Sprint("timely", i), 700*time.Millisecond))
+	}
+	r.run(700 * time.Millisecond)
+	for _, ref := range timely {
+		r.wantDone(ref, 1)
+	}
+	r.run(time.Second)
+	for _, ref := range late {
+		r.wantDone(ref, 1)
+	}
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -140,13 +140,29 @@
 	if len(p.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *job) int { return a.Due.Compare(b.Due) })
+	p.sort(now)
 	for _, w := range p.order(now) {
 		s.fill(now, p, w)
 	}
 	p.sweep()
 }
 
+// sort puts the waiting jobs into the order in which they are sent: the first due
+// comes first, but for those that cannot be on time any more. Under too much load,
+// work that is late already would otherwise make late all that comes after it.
+func (p *pool) sort(now time.Time) {
+	soonest := now.Add(callTime(p.batch, 1))
+	late := func(j *job) int {
+		if j.Due.Before(soonest) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(p.waiting, func(a, b *job) int {
+		return cmp.Or(late(a)-late(b), a.Due.Compare(b.Due))
+	})
+}
+
 // freePace is the least time between two calls that free results at a worker.
 const freePace = 12 * time.Millisecond
 
