--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make test is what CI runs; make demo shows the system at work.
 
-.PHONY: test demo platform-demo build generate bench mutants soak fuzz capacity
+.PHONY: test demo platform-demo build generate bench mutants soak faults fuzz capacity
 
 build:
 	go build -o bin/ ./cmd/teaselplank ./cmd/standin
@@ -33,6 +33,13 @@
 soak:
 	bash scripts/soak.sh $(SOAK)
 
+# Plays fresh seeds of the fault soak: the real programs as processes, with faults
+# from outside. SEEDS is how many, FIRST the first of them.
+SEEDS ?= 50
+FIRST ?= $(shell date +%s)
+faults:
+	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_LENGTH=16 go test -timeout 0 -parallel 4 -v -run TestSoak ./soak
+
 # Fuzzes the rules grammar and the settings for a minute each.
 fuzz:
 	go test -run xxx -fuzz FuzzParse -fuzztime 1m ./rules
--- a/cmd/teaselplank/cmds/entry.go
+++ b/cmd/teaselplank/cmds/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -29,6 +30,12 @@
 
 // Run implements the subcommand.
 func (c *entry) Run(s *streams) error {
+	// Signals are taken before anything else: a SIGHUP that comes earlier ends
+	// the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	if c.Settings == "" {
 		return fmt.Errorf("no settings file is named")
 	}
@@ -42,8 +49,6 @@
 	}
 	debug.SetMemoryLimit(int64(softMemoryShare * float64(settings.Memory)))
 	debug.SetGCPercent(heapGrowth)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	writer := logs.New(s.out)
 	defer writer.Close()
 	node, err := relay.New(relay.Options{
@@ -55,28 +60,23 @@
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	watchReload(ctx, writer, c.Settings)
+	go watchReload(ctx, hangups, writer.Logger(), c.Settings)
 	return node.Serve(ctx)
 }
 
 // watchReload checks the settings again at each SIGHUP. All of them are read at
 // the start only; a change is logged and takes a restart.
-func watchReload(ctx context.Context, writer *logs.Writer, file string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	logger := writer.Logger()
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangups:
-			}
-			if _, err := conf.LoadEntry(file); err != nil {
-				logger.Error("settings are not valid; those of the start stay in force", "error", err.Error())
-				continue
-			}
-			logger.Info("settings read again; those of the start stay in force until a restart")
+func watchReload(ctx context.Context, hangups <-chan os.Signal, logger *slog.Logger, file string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
 		}
-	}()
+		if _, err := conf.LoadEntry(file); err != nil {
+			logger.Error("settings are not valid; those of the start stay in force", "error", err.Error())
+			continue
+		}
+		logger.Info("settings read again; those of the start stay in force until a restart")
+	}
 }
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -22,6 +22,9 @@
 	Ready   string
 	Peers   string
 	Metrics string
+	// Advertise is the address that other nodes reach the node at, where that is
+	// not Peers; or empty.
+	Advertise string
 	// Store is the address of the platform's store.
 	Store string
 	// Seeds are the addresses of other nodes to begin with.
@@ -66,6 +69,14 @@
 	return e, nil
 }
 
+// PeerAddr returns the address that other nodes reach the node at.
+func (e *Entry) PeerAddr() string {
+	if e.Advertise != "" {
+		return e.Advertise
+	}
+	return e.Peers
+}
+
 func (e *Entry) schema() []setting {
 	return []setting{
 		{"node", "id", true, text(&e.Node)},
@@ -78,6 +89,7 @@
 		{"listen", "ready", true, address(&e.Ready)},
 		{"listen", "peers", true, address(&e.Peers)},
 		{"listen", "metrics", true, address(&e.Metrics)},
+		{"listen", "advertise", false, optional(address(&e.Advertise))},
 
 		{"platform", "store", true, address(&e.Store)},
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,7 +112,7 @@
 		protocol: o.Protocol,
 		logger:   o.Logger,
 		started:  time.Now(),
-		self:     member.Node{ID: o.Settings.Node, Incarnation: id.String(), Addr: o.Settings.Peers, Zone: o.Settings.Zone, Processor: o.Settings.Processor},
+		self:     member.Node{ID: o.Settings.Node, Incarnation: id.String(), Addr: o.Settings.PeerAddr(), Zone: o.Settings.Zone, Processor: o.Settings.Processor},
 		node:     flow.New(flow.Config{Zone: o.Settings.Zone, Budget: o.Settings.Budget}),
 		peers:    newPeers(),
 		watchers: make(map[plat.Stream]*watcher),
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -463,6 +463,18 @@
 	}
 }
 
+func TestPauseAmong(t *testing.T) {
+	tests := []struct {
+		nodes int
+		want  time.Duration
+	}{{1, upstreamLeast}, {fewNodes, upstreamLeast}, {2 * fewNodes, 2 * upstreamLeast}, {440, upstreamMost}}
+	for _, test := range tests {
+		if got := pauseAmong(test.nodes); got != test.want {
+			t.Errorf("pause among %d nodes is %s, want %s", test.nodes, got, test.want)
+		}
+	}
+}
+
 // TestLateHeartbeats has the owner's heartbeats come late, as they do at some node
 // at any time among many.
 func TestLateHeartbeats(t *testing.T) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -20,9 +20,15 @@
 	// configWait is how long a read waits for a change of the configuration.
 	configWait = 15 * time.Second
 	// upstreamWait is the same for the upstreams, whose entries are written
-	// all the time, and upstreamPace is the least time between two reads.
+	// all the time.
 	upstreamWait = 2 * time.Second
-	upstreamPace = 450 * time.Millisecond
+	// upstreamLeast and upstreamMost bound the pause between two reads of the
+	// upstreams. It is the shorter one up to fewNodes nodes and grows with
+	// their number, for one that has read of a leaving upstream tells the
+	// others. The longer one leaves time to act within two seconds.
+	upstreamLeast = 450 * time.Millisecond
+	upstreamMost  = 1200 * time.Millisecond
+	fewNodes      = 12
 	// retryLeast and retryMost bound the pause after a read that failed.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 900 * time.Millisecond
@@ -43,8 +49,8 @@
 
 // watch starts the loops that keep the node's beliefs up to date.
 func (s *Server) watch() {
-	go s.follow(plat.StreamConfig, configWait, 0, s.takeConfig)
-	go s.follow(plat.StreamUpstreams, upstreamWait, upstreamPace, s.takeUpstreams)
+	go s.follow(plat.StreamConfig, configWait, func() time.Duration { return 0 }, s.takeConfig)
+	go s.follow(plat.StreamUpstreams, upstreamWait, s.upstreamPause, s.takeUpstreams)
 	go s.followNodes()
 	go s.memberLoop()
 	go s.releaseLoop()
@@ -69,9 +75,22 @@
 	lost bool
 }
 
+// upstreamPause returns the pause between two reads of the upstreams.
+func (s *Server) upstreamPause() time.Duration {
+	s.mu.Lock()
+	nodes := len(s.group.Peers()) + 1
+	s.mu.Unlock()
+	return pauseAmong(nodes)
+}
+
+func pauseAmong(nodes int) time.Duration {
+	pause := upstreamLeast * time.Duration(nodes) / fewNodes
+	return min(max(pause, upstreamLeast), upstreamMost)
+}
+
 // follow reads a stream for as long as the server is open. What it reads is given
 // to take: all newest records at first and after a gap, changes otherwise.
-func (s *Server) follow(stream plat.Stream, wait, pace time.Duration, take func(records []plat.KeyedRecord, all bool)) {
+func (s *Server) follow(stream plat.Stream, wait time.Duration, pace func() time.Duration, take func(records []plat.KeyedRecord, all bool)) {
 	next, known := int64(0), false
 	pause := retryLeast
 	for s.context.Err() == nil {
@@ -99,7 +118,7 @@
 			if all || len(records) > 0 {
 				take(records, all)
 			}
-			s.sleep(pace)
+			s.sleep(pace())
 		}
 	}
 }
