--- a/batch/batch.go
+++ b/batch/batch.go
@@ -57,6 +57,9 @@
 	tries int
 	// sent is true once a piece was sent.
 	sent bool
+	// taken is when the job came, and expected how long it should take.
+	taken    time.Time
+	expected time.Duration
 }
 
 type call struct {
@@ -116,6 +119,38 @@
 // Counts returns the totals.
 func (s *Scheduler) Counts() Counts { return s.counts }
 
+// A PoolState is what a scheduler knows of one service.
+type PoolState struct {
+	Service string
+	// Waiting are the pieces that wait, Coming those that admitted requests will
+	// bring.
+	Waiting int
+	Coming  int
+	// Workers can be sent calls; Calls are under way.
+	Workers int
+	Calls   int
+	// Used and Space are the bytes that results take up, and that they may.
+	Used  int64
+	Space int64
+}
+
+// Pools returns the state of the services.
+func (s *Scheduler) Pools(now time.Time) []PoolState {
+	var states []PoolState
+	for name, p := range s.pools {
+		state := PoolState{Service: name, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now))}
+		for _, w := range p.workers {
+			if w.call != nil {
+				state.Calls++
+			}
+			state.Used += w.used
+			state.Space += w.batch.ResultSpace
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
 // Len returns the number of jobs under way.
 func (s *Scheduler) Len() int { return len(s.jobs) }
 
@@ -144,7 +179,7 @@
 	s.askAll(now, p)
 	s.emit(Admitted{Ref: j.Ref, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now)), Done: done})
 	s.expect(j)
-	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces}
+	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces, taken: now, expected: p.arrive(now, 0, j.Pieces)}
 	for i := range j.Pieces {
 		waiting.pending = append(waiting.pending, i)
 	}
@@ -286,7 +321,7 @@
 		if j.open == 0 {
 			s.counts.Done++
 			delete(s.jobs, j.Ref)
-			s.emit(Done{Ref: j.Ref, Results: j.results})
+			s.emit(Done{Ref: j.Ref, Results: j.results, Service: j.Service, Took: now.Sub(j.taken), Expected: j.expected})
 		}
 	}
 }
--- a/batch/event.go
+++ b/batch/event.go
@@ -192,6 +192,11 @@
 	Done struct {
 		Ref     Ref
 		Results []Result
+		// Service is the job's. Took is how long the job took, and Expected how
+		// long it was expected to.
+		Service  string
+		Took     time.Duration
+		Expected time.Duration
 	}
 	// Admitted tells on what a job was taken: the pieces before it, and when
 	// it and all that its request needs after it should be done.
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -58,6 +58,15 @@
 // Spend counts a repeat and reports true if the budget allows it. Nodes is the
 // number of nodes that share the budget.
 func (m *Meter) Spend(c Config, now time.Time, nodes int) bool {
+	if m.Left(c, now, nodes) < 1 {
+		return false
+	}
+	m.part(c, now).repeats++
+	return true
+}
+
+// Left returns how many repeats the budget allows now.
+func (m *Meter) Left(c Config, now time.Time, nodes int) float64 {
 	current := m.part(c, now)
 	requests, repeats := 0.0, 0.0
 	for i := range m.parts {
@@ -67,9 +76,5 @@
 		}
 	}
 	allowed := margin * (c.Ratio*requests + c.Slack/float64(max(nodes, 1)))
-	if repeats+1 > allowed {
-		return false
-	}
-	current.repeats++
-	return true
+	return allowed - repeats
 }
--- a/flow/attempt.go
+++ b/flow/attempt.go
@@ -6,6 +6,7 @@
 
 	"teaselplank/fleet"
 	"teaselplank/place"
+	"teaselplank/trace"
 )
 
 const (
@@ -51,7 +52,7 @@
 	u.flight++
 	u.unread += r.unread
 	n.counts.Sent++
-	n.note(r, "send", "", "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
+	n.note(r, trace.Sent, "", "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
 		"flight", u.flight, "others", int(chosen.Others), "left_ms", r.deadline.Sub(now).Milliseconds())
 	n.emit(n.sendEffect(now, r))
 }
@@ -167,7 +168,7 @@
 	if r.lastEvent != "" {
 		n.counts.Resumed++
 	}
-	n.note(r, "repeat", "", "cause", why, "attempt", r.attempt, "last_event", r.lastEvent)
+	n.note(r, trace.Repeated, "", "cause", why, "attempt", r.attempt, "last_event", r.lastEvent)
 	for _, s := range r.stages {
 		if s.freed && r.route.Kind == fleet.Stream {
 			n.restart(now, r)
@@ -185,7 +186,7 @@
 	r.upstream.unread -= r.unread
 	r.unread = 0
 	n.first[r.route.Name] = mean(n.first[r.route.Name], now.Sub(r.sentAt))
-	n.note(r, "answer began", "", "attempt", e.Attempt, "after_ms", now.Sub(r.sentAt).Milliseconds(),
+	n.noteSince(now, r.sentAt, r, trace.Began, "", "attempt", e.Attempt,
 		"due_ms", r.due.Sub(now).Milliseconds())
 	n.freeAll(r)
 }
@@ -199,8 +200,8 @@
 	if e.Status < http.StatusInternalServerError {
 		r.upstream.succeeded(now, now.Sub(r.sentAt))
 	}
-	n.note(r, "answered", ReasonAnswered, "status", e.Status, "attempts", r.attempt, "upstream", r.upstream.ID,
-		"held_ms", now.Sub(r.arrived).Milliseconds(), "due_ms", r.due.Sub(now).Milliseconds())
+	n.noteSince(now, r.arrived, r, trace.Answered, ReasonAnswered, "status", e.Status, "attempts", r.attempt,
+		"upstream", r.upstream.ID, "due_ms", r.due.Sub(now).Milliseconds())
 	n.end(r)
 }
 
@@ -216,8 +217,8 @@
 	if e.LastEvent != "" {
 		r.lastEvent = e.LastEvent
 	}
-	n.note(r, "attempt failed", "", "failure", string(e.Failure), "attempt", e.Attempt, "upstream", u.ID,
-		"after_ms", now.Sub(r.sentAt).Milliseconds())
+	n.noteSince(now, r.sentAt, r, trace.FailedAttempt, "", "failure", string(e.Failure), "attempt", e.Attempt,
+		"upstream", u.ID)
 	if e.Failure == Unreached || e.Failure == Unanswered || e.Failure == Withheld {
 		if e.Failure != Withheld {
 			u.suspect(now)
--- a/flow/event.go
+++ b/flow/event.go
@@ -5,6 +5,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/fleet"
+	"teaselplank/trace"
 )
 
 // A Request is what a client asks for, as the front has read it.
@@ -242,7 +243,9 @@
 // A Note is a decision on a request with what it was based on.
 type Note struct {
 	Request  string
-	Decision string
+	Decision trace.Decision
 	Reason   Reason
-	Inputs   []any
+	// Took is how long that which ends with the decision took, or 0.
+	Took   time.Duration
+	Inputs []any
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -131,6 +131,15 @@
 // Counts returns the totals.
 func (n *Node) Counts() Counts { return n.counts }
 
+// RepeatsLeft returns how many repeats the budget of each service allows now.
+func (n *Node) RepeatsLeft(now time.Time) map[string]float64 {
+	left := make(map[string]float64, len(n.pools))
+	for name, p := range n.pools {
+		left[name] = p.meter.Left(n.config.Budget, now, n.nodes)
+	}
+	return left
+}
+
 // Usable reports whether an upstream may still be sent work. It is asked again
 // after a connection was made, since that takes time.
 func (n *Node) Usable(id string, born int64) bool {
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -61,7 +61,34 @@
 	return r
 }
 
-func (r *rig) step(e Event) { r.effects = append([]Effect(nil), r.node.Step(r.now, e)...) }
+func (r *rig) step(e Event) {
+	r.effects = append([]Effect(nil), r.node.Step(r.now, e)...)
+	r.wantEndsNoted()
+}
+
+// wantEndsNoted checks that each end of a request has a line of its reason. All
+// tests of the package do so with each event.
+func (r *rig) wantEndsNoted() {
+	r.t.Helper()
+	ends, noted := make(map[Reason]int), make(map[Reason]int)
+	for _, e := range r.effects {
+		switch e := e.(type) {
+		case Reply:
+			ends[e.Reason]++
+		case Cut:
+			ends[e.Reason]++
+		case Noted:
+			if e.Note.Decision.Ends() && e.Note.Request != "" {
+				noted[e.Note.Reason]++
+			}
+		}
+	}
+	for reason, count := range ends {
+		if noted[reason] != count {
+			r.t.Errorf("%d requests end for %q, %d lines say so", count, reason, noted[reason])
+		}
+	}
+}
 
 func (r *rig) arrive(path string, pieces ...int) {
 	r.number++
@@ -119,12 +146,12 @@
 	})
 	t.Run("unknown key", func(t *testing.T) {
 		r := newRig(t)
-		r.step(Arrive{Request{Number: 9, Host: "h", Path: "/safe/1", APIKey: "other"}})
+		r.step(Arrive{Request{Number: 9, ID: "id", Host: "h", Path: "/safe/1", APIKey: "other"}})
 		r.wantReply(http.StatusUnauthorized, ReasonNoKey)
 	})
 	t.Run("anonymous route", func(t *testing.T) {
 		r := newRig(t)
-		r.step(Arrive{Request{Number: 9, Host: "h", Path: "/open/1"}})
+		r.step(Arrive{Request{Number: 9, ID: "id", Host: "h", Path: "/open/1"}})
 		find[Send](r)
 	})
 	t.Run("older configuration", func(t *testing.T) {
--- a/flow/request.go
+++ b/flow/request.go
@@ -8,6 +8,7 @@
 	"teaselplank/fleet"
 	"teaselplank/place"
 	"teaselplank/state"
+	"teaselplank/trace"
 )
 
 // status is the state of a request.
@@ -137,7 +138,7 @@
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
 	n.settleHome(now, r)
 	n.counts.Admitted++
-	n.note(r, "admitted", "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
+	n.note(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Patience.Milliseconds())
 	n.advance(now, r)
 }
@@ -201,8 +202,8 @@
 		retry += time.Duration(r.Number*7919%100) * spreadRetries / 100
 	}
 	n.counts.Replies[reason]++
-	n.note(r, "reply", reason, "status", status, "retry_after_ms", retry.Milliseconds(),
-		"held_ms", now.Sub(r.arrived).Milliseconds(), "attempts", r.attempt, "version", n.version())
+	n.noteSince(now, r.arrived, r, trace.Replied, reason, "status", status, "retry_after_ms", retry.Milliseconds(),
+		"attempts", r.attempt, "version", n.version())
 	n.emit(Reply{Number: r.Number, Status: status, Reason: reason, RetryAfter: retry})
 	n.end(r)
 }
@@ -242,7 +243,7 @@
 		return
 	}
 	n.counts.Left++
-	n.note(r, "left", ReasonLeft, "held_ms", now.Sub(r.arrived).Milliseconds(), "status", string(r.status))
+	n.noteSince(now, r.arrived, r, trace.Left, ReasonLeft, "status", string(r.status))
 	n.end(r)
 }
 
@@ -265,11 +266,18 @@
 // cut breaks off an answer that the client has a part of.
 func (n *Node) cut(now time.Time, r *request, reason Reason) {
 	n.counts.Cut++
-	n.note(r, "cut", reason, "held_ms", now.Sub(r.arrived).Milliseconds())
+	n.noteSince(now, r.arrived, r, trace.CutOff, reason)
 	n.emit(Cut{Number: r.Number, Reason: reason})
 	n.end(r)
 }
 
-func (n *Node) note(r *request, decision string, reason Reason, inputs ...any) {
+func (n *Node) note(r *request, decision trace.Decision, reason Reason, inputs ...any) {
 	n.emit(Noted{Note{Request: r.ID, Decision: decision, Reason: reason, Inputs: inputs}})
 }
+
+// noteSince notes a decision and how long it is since a time.
+func (n *Node) noteSince(now, since time.Time, r *request, decision trace.Decision, reason Reason, inputs ...any) {
+	took := now.Sub(since)
+	inputs = append([]any{"took_ms", took.Milliseconds()}, inputs...)
+	n.emit(Noted{Note{Request: r.ID, Decision: decision, Reason: reason, Took: took, Inputs: inputs}})
+}
--- a/flow/stages.go
+++ b/flow/stages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"teaselplank/batch"
+	"teaselplank/trace"
 )
 
 // advance runs the stages that can run, or sends the request once all are done.
@@ -83,8 +84,8 @@
 	s := &r.stages[e.Stage]
 	s.done, s.results = true, e.Results
 	n.settleZone(r)
-	n.note(r, "stage done", "", "stage", e.Stage, "pieces", len(e.Results), "zone", r.zone,
-		"took_ms", now.Sub(s.askedAt).Milliseconds(), "due_ms", r.due.Sub(now).Milliseconds())
+	n.noteSince(now, s.askedAt, r, trace.StageDone, "", "stage", e.Stage, "pieces", len(e.Results), "zone", r.zone,
+		"due_ms", r.due.Sub(now).Milliseconds())
 	n.freeUsed(r)
 	n.advance(now, r)
 }
@@ -160,7 +161,7 @@
 	if e.Reason == batch.ReasonLate {
 		reason = ReasonLate
 	}
-	n.note(r, "stage failed", reason, "stage", e.Stage, "cause", string(e.Reason))
+	n.note(r, trace.StageFailed, reason, "stage", e.Stage, "cause", string(e.Reason))
 	n.giveUp(now, r, reason, max(e.RetryAfter, fullPause))
 }
 
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -4,6 +4,7 @@
 package logs
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -41,8 +42,44 @@
 	return w
 }
 
-// Logger returns a logger of JSON lines that go to the writer.
-func (w *Writer) Logger() *slog.Logger { return slog.New(slog.NewJSONHandler(w, nil)) }
+// Logger returns a logger of JSON lines that go to the writer. Lines of the debug
+// level are left out while the buffer is half full, so that there is room for what
+// tells more.
+func (w *Writer) Logger() *slog.Logger {
+	return slog.New(&handler{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelDebug}), w})
+}
+
+// A handler leaves lines out before they cost the encoding.
+type handler struct {
+	slog.Handler
+	writer *Writer
+}
+
+// Enabled implements slog.Handler.
+func (h *handler) Enabled(_ context.Context, level slog.Level) bool {
+	if level >= slog.LevelInfo || h.writer.roomy() {
+		return true
+	}
+	h.writer.dropped.Add(1)
+	return false
+}
+
+// WithAttrs implements slog.Handler.
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &handler{h.Handler.WithAttrs(attrs), h.writer}
+}
+
+// WithGroup implements slog.Handler.
+func (h *handler) WithGroup(name string) slog.Handler {
+	return &handler{h.Handler.WithGroup(name), h.writer}
+}
+
+// roomy reports whether less than half of the buffer is taken.
+func (w *Writer) roomy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.buffer) < maxBuffer/2
+}
 
 // Write takes one line. It never blocks and always reports success; a line for
 // which there is no room is dropped and counted.
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("a line after the end counts %d (%v), %d dropped", n, err, w.Dropped())
 	}
 }
+
+// A burst of lines of both levels meets an output that is stuck: what tells more
+// finds room after what goes as usual has filled its half.
+func TestUsualLinesAreDroppedFirst(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := New(out)
+	logger := w.Logger()
+	for range 20_000 {
+		logger.Debug("as usual", "request", "0123456789abcdef")
+	}
+	for range 500 {
+		logger.Info("refused", "request", "0123456789abcdef")
+	}
+	close(out.release)
+	w.Close()
+	if got := strings.Count(out.written.String(), `"msg":"refused"`); got != 500 {
+		t.Errorf("%d of 500 lines that tell more were written", got)
+	}
+	if w.Dropped() < 1000 {
+		t.Errorf("%d lines are counted as dropped, want 1000 or more", w.Dropped())
+	}
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,12 +23,27 @@
 	reads     *prometheus.CounterVec
 	invalids  *prometheus.CounterVec
 	calls     *prometheus.HistogramVec
+	// took are the times of what ends with a decision; stages those of stages,
+	// and overrun the part of the expected time that they took.
+	took    *prometheus.HistogramVec
+	stages  *prometheus.HistogramVec
+	overrun *prometheus.HistogramVec
+	store   *prometheus.HistogramVec
 }
 
+// Buckets of times from 5 ms to 10 s, and of parts from a quarter to 4.
+var (
+	timeBuckets = prometheus.ExponentialBuckets(0.005, 1.8, 14)
+	partBuckets = prometheus.ExponentialBuckets(0.25, 1.32, 11)
+)
+
 func newMetrics(s *Server) *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "teaselplank_" + name, Help: help}, labels)
 	}
+	histogram := func(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "teaselplank_" + name, Help: help, Buckets: buckets}, labels)
+	}
 	m := &metrics{
 		registry:  prometheus.NewRegistry(),
 		decisions: counter("decisions_total", "Decisions on requests.", "decision", "reason"),
@@ -36,15 +51,16 @@
 		peers:     counter("peer_failures_total", "Calls to other nodes that failed.", "call"),
 		reads:     counter("store_reads_total", "Reads of the store.", "stream", "result"),
 		invalids:  counter("invalid_records_total", "Records that could not be read.", "kind"),
-		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "teaselplank_stage_call_seconds", Help: "Calls to workers of stages.",
-			Buckets: prometheus.ExponentialBuckets(0.05, 1.6, 10),
-		}, []string{"service", "failure"}),
+		calls:     histogram("stage_call_seconds", "Calls to workers of stages.", timeBuckets, "service", "failure"),
+		took:      histogram("decision_seconds", "What ends with a decision.", timeBuckets, "decision", "reason"),
+		stages:    histogram("stage_seconds", "Stages of requests, at their owner.", timeBuckets, "service"),
+		overrun:   histogram("stage_overrun_ratio", "Time of stages as part of what was expected.", partBuckets, "service"),
+		store:     histogram("store_read_seconds", "Reads of the store, with the time that they wait for changes.", timeBuckets, "stream"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "teaselplank_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.decisions, m.failures, m.peers, m.reads, m.invalids, m.calls,
+	m.registry.MustRegister(m.decisions, m.failures, m.peers, m.reads, m.invalids, m.calls, m.took, m.stages, m.overrun, m.store, &beliefs{s},
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requests()) }),
 		gauge("config_version", "Version of the configuration in force.", func() float64 {
 			s.mu.Lock()
@@ -61,7 +77,17 @@
 }
 
 func (m *metrics) decision(n flow.Note) {
-	m.decisions.WithLabelValues(n.Decision, string(n.Reason)).Inc()
+	m.decisions.WithLabelValues(string(n.Decision), string(n.Reason)).Inc()
+	if n.Took > 0 {
+		m.took.WithLabelValues(string(n.Decision), string(n.Reason)).Observe(n.Took.Seconds())
+	}
+}
+
+func (m *metrics) stage(d batch.Done) {
+	m.stages.WithLabelValues(d.Service).Observe(d.Took.Seconds())
+	if d.Expected > 0 {
+		m.overrun.WithLabelValues(d.Service).Observe(float64(d.Took) / float64(d.Expected))
+	}
 }
 
 func (m *metrics) upstreamFailure(service, step string) {
@@ -72,12 +98,13 @@
 
 func (m *metrics) invalid(kind string) { m.invalids.WithLabelValues(kind).Inc() }
 
-func (m *metrics) store(stream plat.Stream, ok bool) {
+func (m *metrics) read(stream plat.Stream, ok bool, took time.Duration) {
 	result := "ok"
 	if !ok {
 		result = "failed"
 	}
 	m.reads.WithLabelValues(string(stream), result).Inc()
+	m.store.WithLabelValues(string(stream)).Observe(took.Seconds())
 }
 
 func (m *metrics) call(service, failure string, took time.Duration) {
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -9,6 +9,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/fleet"
+	"teaselplank/trace"
 )
 
 // An owner runs the scheduler of the stage services that this node owns, for the
@@ -69,12 +70,13 @@
 		case batch.Ask:
 			go o.ask(e.Worker)
 		case batch.Admitted:
-			o.server.logger.Info("stage admitted", "request", e.Ref.Request, "stage", e.Ref.Stage, "waiting", e.Waiting,
+			o.server.decided(trace.StageAdmitted, "request", e.Ref.Request, "stage", e.Ref.Stage, "waiting", e.Waiting,
 				"coming", e.Coming, "workers", e.Workers, "done_ms", e.Done.Milliseconds())
 		case batch.Done:
+			o.server.metrics.stage(e)
 			o.finish(e.Ref, e)
 		case batch.Refused:
-			o.server.logger.Info("stage refused", "request", e.Ref.Request, "stage", e.Ref.Stage, "reason", string(e.Reason),
+			o.server.decided(trace.StageRefused, "request", e.Ref.Request, "stage", e.Ref.Stage, "reason", string(e.Reason),
 				"retry_after_ms", e.RetryAfter.Milliseconds())
 			o.finish(e.Ref, e)
 		}
@@ -121,6 +123,12 @@
 	return o.sched.Counts()
 }
 
+func (o *owner) pools(now time.Time) []batch.PoolState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sched.Pools(now)
+}
+
 // call sends pieces to a worker and brings their ends back.
 func (o *owner) call(c batch.Call) {
 	started := time.Now()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,7 @@
 	"teaselplank/flow"
 	"teaselplank/member"
 	"teaselplank/plat"
+	"teaselplank/trace"
 )
 
 // A Protocol translates the messages of a deployment.
@@ -159,7 +160,12 @@
 func (s *Server) log(n flow.Note) {
 	s.metrics.decision(n)
 	args := append([]any{"request", n.Request, "reason", string(n.Reason)}, n.Inputs...)
-	s.logger.Info(n.Decision, args...)
+	s.decided(n.Decision, args...)
+}
+
+// decided writes the line of a decision.
+func (s *Server) decided(d trace.Decision, args ...any) {
+	s.logger.Log(s.context, d.Level(), string(d), args...)
 }
 
 // Serve listens and serves until ctx ends; then it lets what is under way end,
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -12,6 +12,7 @@
 	"teaselplank/flow"
 	"teaselplank/member"
 	"teaselplank/peerpb"
+	"teaselplank/trace"
 )
 
 // maxOwners bounds the nodes that a job is given to, one after the other, when
@@ -96,7 +97,7 @@
 	}
 	if err != nil || batch.Reason(reply.GetReason()) == batch.ReasonMoved {
 		s.metrics.peerFailure("run")
-		s.logger.Info("owner failed", "request", job.Ref.Request, "service", job.Service, "owner", node.ID,
+		s.decided(trace.OwnerFailed, "request", job.Ref.Request, "service", job.Service, "owner", node.ID,
 			"silent", ctx.Err() != nil, "moved", err == nil)
 		s.peers.avoid(node.Addr)
 		return nil, false
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -96,6 +96,7 @@
 	for s.context.Err() == nil {
 		var records []plat.KeyedRecord
 		var err error
+		began := s.now()
 		all := !known
 		if all {
 			records, next, err = s.newest(stream)
@@ -105,7 +106,7 @@
 				next = after
 			}
 		}
-		s.heardStore(stream, err)
+		s.heardStore(stream, began, err)
 		switch {
 		case errors.Is(err, plat.ErrDropped):
 			known = false
@@ -134,10 +135,10 @@
 
 // heardStore notes how a read of the store went, and logs when it is lost and
 // regained.
-func (s *Server) heardStore(stream plat.Stream, err error) {
+func (s *Server) heardStore(stream plat.Stream, began time.Time, err error) {
 	now := s.now()
 	ok := err == nil || errors.Is(err, plat.ErrDropped)
-	s.metrics.store(stream, ok)
+	s.metrics.read(stream, ok, now.Sub(began))
 	s.mu.Lock()
 	w := s.watchers[stream]
 	if w == nil {
@@ -365,6 +366,7 @@
 	told := false
 	for s.context.Err() == nil && !s.stopped.Load() {
 		err := error(nil)
+		began := s.now()
 		if !told {
 			err = s.tellSelf()
 			told = err == nil
@@ -372,7 +374,7 @@
 		if err == nil {
 			err = s.readNodes()
 		}
-		s.heardStore(plat.StreamNodes, err)
+		s.heardStore(plat.StreamNodes, began, err)
 		if err != nil {
 			s.sleep(retryMost)
 			continue
--- a/story/story.go
+++ b/story/story.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"teaselplank/trace"
 )
 
 // A Line is one log line that is about a request.
@@ -21,7 +23,7 @@
 	time     time.Time
 	source   string
 	request  string
-	decision string
+	decision trace.Decision
 	reason   string
 	// inputs are the other fields, by name.
 	inputs map[string]any
@@ -63,7 +65,7 @@
 	}
 	l := Line{inputs: fields}
 	l.request = take(fields, "request")
-	l.decision = take(fields, "msg")
+	l.decision = trace.Decision(take(fields, "msg"))
 	l.reason = take(fields, "reason")
 	at, err := time.Parse(time.RFC3339Nano, take(fields, "time"))
 	delete(fields, "level")
@@ -92,18 +94,15 @@
 
 // blames are the decisions that keep a request from being served, and whether one
 // alone may be made good by a repeat.
-var blames = map[string]bool{
-	"attempt failed": true, "owner failed": true,
-	"stage refused": false, "stage failed": false, "reply": false, "cut": false, "left": false,
+var blames = map[trace.Decision]bool{
+	trace.FailedAttempt: true, trace.OwnerFailed: true,
+	trace.StageRefused: false, trace.StageFailed: false, trace.Replied: false, trace.CutOff: false, trace.Left: false,
 }
 
-// served is the decision that ends a request well.
-const served = "answered"
-
 // Cause returns the first decision after which the request could not be served, or
 // false if it was served or its end is not known.
 func Cause(own []Line) (Line, bool) {
-	if len(own) == 0 || slices.ContainsFunc(own, func(l Line) bool { return l.decision == served }) {
+	if len(own) == 0 || slices.ContainsFunc(own, func(l Line) bool { return l.decision == trace.Answered }) {
 		return Line{}, false
 	}
 	for i, l := range own {
@@ -117,7 +116,7 @@
 
 // repaired reports whether the request was sent again, or an owner took its stage.
 func repaired(rest []Line) bool {
-	return slices.ContainsFunc(rest, func(l Line) bool { return l.decision == "send" || l.decision == "stage admitted" })
+	return slices.ContainsFunc(rest, func(l Line) bool { return l.decision == trace.Sent || l.decision == trace.StageAdmitted })
 }
 
 // String returns the line as it is printed.
@@ -154,7 +153,7 @@
 		if !failed {
 			continue
 		}
-		name := l.decision
+		name := string(l.decision)
 		if l.reason != "" {
 			name += ": " + l.reason
 		}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -46,7 +46,7 @@
 	for _, c := range []struct{ request, want string }{{"a", "stage refused"}, {"b", ""}, {"c", "attempt failed"}, {"d", ""}} {
 		t.Run(c.request, func(t *testing.T) {
 			got, _ := Cause(Of(lines, c.request))
-			if got.decision != c.want {
+			if string(got.decision) != c.want {
 				t.Errorf("cause is %q, want %q", got.decision, c.want)
 			}
 		})
