--- a/batch/returns.go
+++ b/batch/returns.go
@@ -15,9 +15,9 @@
 const (
 	// returnShare is the part of the workers' capacity for requests that come
 	// back.
-	returnShare = 0.3
+	returnShare = 0.15
 	// maxReturn bounds the time that a request is told to wait.
-	maxReturn = 5 * time.Second
+	maxReturn = 8 * time.Second
 )
 
 // next returns how long a request waits that would be in time after least, and
