--- a/batch/admit.go
+++ b/batch/admit.go
@@ -98,12 +98,12 @@
 		return time.Hour
 	}
 	before := p.queued("") + p.coming
-	start := in + callTime(p.batch, p.batch.MaxItems/2)/time.Duration(2*len(workers))
+	start := in + callTime(p.batch, p.batch.MaxItems/2)/time.Duration(2*slotsOf(workers))
 	if in == 0 {
 		start = p.wait(now, workers, 0)
 	}
 	drained := time.Duration(float64(before+pieces) / p.rate(workers) * float64(time.Second))
 	start = max(start, drained-p.round())
-	items := min((before+pieces)/len(workers)+1, p.batch.MaxItems)
+	items := min((before+pieces)/slotsOf(workers)+1, p.batch.MaxItems)
 	return start + callTime(p.batch, items)
 }
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -1,5 +1,5 @@
 // Package batch turns the pieces of stages into calls. A worker of a stage service
-// runs one call at a time, and a call has a fixed cost however few pieces it holds;
+// runs one call at a time, or a few, and a call has a fixed cost however few pieces it holds;
 // so the pieces of many requests share calls. One node, the owner of a service, runs
 // a Scheduler for the requests of all nodes.
 //
@@ -140,9 +140,7 @@
 	for name, p := range s.pools {
 		state := PoolState{Service: name, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now))}
 		for _, w := range p.workers {
-			if w.call != nil {
-				state.Calls++
-			}
+			state.Calls += len(w.calls)
 			state.Used += w.used
 			state.Space += w.batch.ResultSpace
 		}
--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -291,3 +291,29 @@
 		r.wantDone(ref, 1)
 	}
 }
+
+// Workers that run two calls at once meet twice the load that others carry: all of
+// it is done in time, and none has more than two calls under way.
+func TestCallsAtOnce(t *testing.T) {
+	r := newRig(t)
+	wide := testBatch
+	wide.Running = 2
+	r.step(Workers{Services: []fleet.Service{{Name: "s", Batch: &wide}}, Upstreams: upstreams("a1", "a2")})
+	most := 0
+	for i := range 400 {
+		// Two workers do 133 pieces a second in two full calls each.
+		r.submit(fmt.Sprint(i), "a", 1, time.Second)
+		r.run(10 * time.Millisecond)
+		r.free()
+		for _, w := range r.sched.pools["s"].workers {
+			most = max(most, len(w.calls))
+		}
+	}
+	r.run(time.Second)
+	if len(r.refused) > 0 || len(r.done) != 400 {
+		t.Errorf("%d requests are done and %d refused, want all done", len(r.done), len(r.refused))
+	}
+	if most != 2 {
+		t.Errorf("a worker had %d calls at once, want 2", most)
+	}
+}
--- a/batch/pace.go
+++ b/batch/pace.go
@@ -43,7 +43,7 @@
 func (p *pool) fullRate(workers []*worker) float64 {
 	rate := 0.0
 	for _, w := range workers {
-		rate += float64(p.batch.MaxItems) / (p.round().Seconds() * w.slow)
+		rate += float64(w.slots()*p.batch.MaxItems) / (p.round().Seconds() * w.slow)
 	}
 	return rate
 }
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -123,7 +123,7 @@
 	}
 	wait := first.Sub(now)
 	// A queue that does not fit into the calls that start next takes rounds.
-	room := p.batch.MaxItems * len(workers)
+	room := p.batch.MaxItems * slotsOf(workers)
 	return wait + time.Duration(float64(queued/room)*float64(p.round()))
 }
 
@@ -142,7 +142,8 @@
 	}
 	p.sort(now)
 	for _, w := range p.order(now) {
-		s.fill(now, p, w)
+		for w.idle(now) && s.fill(now, p, w) {
+		}
 	}
 	p.sweep()
 }
@@ -199,12 +200,13 @@
 	return idle
 }
 
-// fill sends a worker one call of the pieces that are best done there.
-func (s *Scheduler) fill(now time.Time, p *pool, w *worker) {
+// fill sends a worker one call of the pieces that are best done there. It reports
+// whether there may be more to send.
+func (s *Scheduler) fill(now time.Time, p *pool, w *worker) bool {
 	c := &call{worker: w, sent: now}
 	if p.trial(now, w) {
 		s.try(now, p, c)
-		return
+		return false
 	}
 	limit := p.share(now, w)
 	space := w.space(now)
@@ -222,9 +224,11 @@
 		}
 	}
 	p.pace.filled(now, len(c.pieces), p.batch.MaxItems, limited)
-	if len(c.pieces) > 0 {
-		s.send(now, p, c)
+	if len(c.pieces) == 0 {
+		return false
 	}
+	s.send(now, p, c)
+	return true
 }
 
 // add takes the next piece of a job into the call.
@@ -258,7 +262,7 @@
 	idle := 0
 	for _, other := range p.workers {
 		if other.idle(now) && other.upstream.Zone == w.upstream.Zone {
-			idle++
+			idle += other.free()
 		}
 	}
 	part := (p.queued(w.upstream.Zone) + idle - 1) / max(idle, 1)
@@ -310,7 +314,7 @@
 	s.counts.Calls++
 	s.counts.Items += int64(len(c.pieces))
 	c.expect = callTime(p.batch, len(c.pieces))
-	c.worker.call = c
+	c.worker.calls = append(c.worker.calls, c)
 	s.calls[s.number] = c
 	out := Call{Number: s.number, Worker: c.worker.upstream, Timeout: callPatience*c.expect + callGrace}
 	for _, one := range c.pieces {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"teaselplank/fleet"
@@ -11,8 +12,8 @@
 type worker struct {
 	upstream fleet.Upstream
 	batch    fleet.Batch
-	// call is under way, or nil.
-	call *call
+	// calls are under way; no more than slots says.
+	calls []*call
 	// slow is a moving mean of the time that calls took over what they should.
 	slow float64
 	// health has the calls that failed since the last that did not.
@@ -64,7 +65,7 @@
 
 // finish takes in the end of a call.
 func (w *worker) finish(now time.Time, c *call, failure Failure) {
-	w.call = nil
+	w.calls = slices.DeleteFunc(w.calls, func(other *call) bool { return other == c })
 	switch failure {
 	case Full:
 		w.fullUntil = now.Add(fullPause)
@@ -83,18 +84,35 @@
 	return !w.upstream.Draining && !w.health.Suspect(now)
 }
 
+// slots is the number of calls that the worker runs at once.
+func (w *worker) slots() int { return max(w.batch.Running, 1) }
+
+// free is the number of calls that it can run besides those under way.
+func (w *worker) free() int { return w.slots() - len(w.calls) }
+
+// slotsOf is the number of calls that workers run at once together.
+func slotsOf(workers []*worker) int {
+	count := 0
+	for _, w := range workers {
+		count += w.slots()
+	}
+	return count
+}
+
 // idle reports whether the worker can take a call now.
 func (w *worker) idle(now time.Time) bool {
-	return w.usable(now) && w.call == nil && !now.Before(w.fullUntil)
+	return w.usable(now) && w.free() > 0 && !now.Before(w.fullUntil)
 }
 
 // freeAt returns when the worker is likely to take its next call.
 func (w *worker) freeAt(now time.Time) time.Time {
-	at := now
-	if w.call != nil {
-		at = later(at, w.call.sent.Add(time.Duration(float64(w.call.expect)*w.slow)))
+	at := later(now, w.fullUntil)
+	if w.free() > 0 {
+		return at
 	}
-	return later(at, w.fullUntil)
+	ends := func(c *call) time.Time { return c.sent.Add(time.Duration(float64(c.expect) * w.slow)) }
+	first := slices.MinFunc(w.calls, func(a, b *call) int { return ends(a).Compare(ends(b)) })
+	return later(at, ends(first))
 }
 
 func later(a, b time.Time) time.Time {
