--- a/Makefile
+++ b/Makefile
@@ -40,10 +40,18 @@
 faults:
 	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_LENGTH=16 go test -timeout 0 -parallel 4 -v -run TestSoak ./soak
 
-# Fuzzes the rules grammar and the settings for a minute each.
+# Fuzzes what comes from outside for FUZZ each: the rules grammar, the settings, and
+# configurations, entries, answers, pages and events of the users' platform.
+FUZZ ?= 1m
+FUZZ_FLAGS = -fuzztime $(FUZZ) -fuzzminimizetime 100x
 fuzz:
-	go test -run xxx -fuzz FuzzParse -fuzztime 1m ./rules
-	go test -run xxx -fuzz FuzzParse -fuzztime 1m ./conf
+	go test -run xxx -fuzz FuzzParse $(FUZZ_FLAGS) ./rules
+	go test -run xxx -fuzz FuzzParse $(FUZZ_FLAGS) ./conf
+	go test -run xxx -fuzz FuzzParseConfig $(FUZZ_FLAGS) ./platform
+	go test -run xxx -fuzz FuzzParseUpstream $(FUZZ_FLAGS) ./platform
+	go test -run xxx -fuzz FuzzStageAnswer $(FUZZ_FLAGS) ./platform
+	go test -run xxx -fuzz FuzzDecodeLog $(FUZZ_FLAGS) ./platform
+	go test -run xxx -fuzz FuzzEvents $(FUZZ_FLAGS) ./relay
 
 # Measures the slopes that docs/CAPACITY.md works with.
 capacity:
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -52,3 +52,30 @@
 		})
 	}
 }
+
+// FuzzEvents reads any stream in whole and byte by byte: both give the same events,
+// and nothing of the stream but what stands after the last whole event is lost.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nda")
+	f.Fuzz(func(t *testing.T, stream string) {
+		whole := readEvents(strings.NewReader(stream))
+		if slow := readEvents(iotest.OneByteReader(strings.NewReader(stream))); slow != whole {
+			t.Errorf("events are %q in whole and %q byte by byte", whole, slow)
+		}
+		if !strings.HasPrefix(stream, whole) {
+			t.Errorf("events are %q of %q", whole, stream)
+		}
+	})
+}
+
+func readEvents(r io.Reader) string {
+	e := newEvents(r, "")
+	var all strings.Builder
+	for {
+		data, _, err := e.next()
+		all.Write(data)
+		if err != nil {
+			return all.String()
+		}
+	}
+}
--- a/soak/host.go
+++ b/soak/host.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -64,18 +66,32 @@
 // grace is the time that a host has to shut down.
 const grace = 6 * time.Second
 
+// Ports of hosts are below those that the operating system gives to connections,
+// for they must be free again when a host is back.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
+// nextPort is where the search for free ports goes on.
+var nextPort atomic.Int64
+
 // freeAddrs returns addresses that nobody listens at.
 func freeAddrs(count int) ([]string, error) {
+	nextPort.CompareAndSwap(0, firstPort+rand.Int64N(lastPort-firstPort))
 	var addrs []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
+			continue // Somebody listens there.
+		}
+		l.Close()
+		if addrs = append(addrs, l.Addr().String()); len(addrs) == count {
+			return addrs, nil
 		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
 	}
-	return addrs, nil
+	return nil, fmt.Errorf("fewer than %d ports are free from %d to %d", count, firstPort, lastPort)
 }
 
 // start starts the process. The lock must be held.
