--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -80,17 +81,14 @@
 // open sends the request and reads the head of the answer.
 func (x *exchange) open(e flow.Send) (*answer, flow.Failure) {
 	ctx := x.context
-	c, err := x.server.upstreams.get(ctx, e.Upstream)
-	if err != nil {
-		x.server.metrics.upstreamFailure(e.Upstream.Service, "dial")
-		if isTimeout(err) {
-			return nil, flow.Unanswered
-		}
-		return nil, flow.Unreached
-	}
-	if !x.server.usable(e.Upstream) {
-		c.finish(nil)
+	c, err := x.server.connect(ctx, e.Upstream)
+	switch {
+	case errors.Is(err, errUnanswered):
+		return nil, flow.Unanswered
+	case errors.Is(err, errWithheld):
 		return nil, flow.Withheld
+	case err != nil:
+		return nil, flow.Unreached
 	}
 	r, err := x.outgoing(e)
 	if err != nil {
@@ -111,14 +109,6 @@
 	return &answer{send: e, response: response, conn: c, release: release}, ""
 }
 
-// usable looks once more whether an upstream may be sent work: making a
-// connection takes time, in which it may have said that it leaves.
-func (s *Server) usable(u fleet.Upstream) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.node.Usable(u.ID, u.Born)
-}
-
 // outgoing returns the request of an attempt. It is written by this package
 // itself, once: nothing below repeats it.
 func (x *exchange) outgoing(e flow.Send) (*http.Request, error) {
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -196,16 +197,11 @@
 func (s *Server) post(r *http.Request, u fleet.Upstream, timeout time.Duration) (int, http.Header, []byte, batch.Failure) {
 	ctx, cancel := context.WithTimeout(s.context, timeout)
 	defer cancel()
-	c, err := s.upstreams.get(ctx, u)
-	if err != nil {
-		s.metrics.upstreamFailure(u.Service, "dial")
-		if isTimeout(err) {
-			return 0, nil, nil, batch.Unanswered
-		}
-		return 0, nil, nil, batch.Unreached
+	c, err := s.connect(ctx, u)
+	if errors.Is(err, errUnanswered) {
+		return 0, nil, nil, batch.Unanswered
 	}
-	if !s.usable(u) {
-		c.finish(nil)
+	if err != nil {
 		return 0, nil, nil, batch.Unreached
 	}
 	response, err := c.exchange(r, int(r.ContentLength), timeout)
