--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -292,6 +292,16 @@
 			t.Errorf("%d results are freed at the first event, want 1", len(freed))
 		}
 	})
+	t.Run("the client gives up before the answer is due", func(t *testing.T) {
+		r := newRig(t)
+		r.number++
+		r.step(Arrive{Request{
+			Number: r.number, ID: "id", Host: "h", Path: "/stream/1", APIKey: "key", Patience: 400 * time.Millisecond, Pieces: []int{1, 1}, PieceKey: "k",
+		}})
+		if job := find[RunStage](r).Job; job.Finish.After(r.now.Add(400 * time.Millisecond)) {
+			t.Errorf("stages are to finish after %s, the client gives up after 400 ms", job.Finish.Sub(r.now))
+		}
+	})
 	t.Run("two stages need the results of one", func(t *testing.T) {
 		r := newRig(t)
 		c := testConfig()
--- a/flow/stages.go
+++ b/flow/stages.go
@@ -42,7 +42,12 @@
 		ResultBytes: s.ResultBytes, Zone: r.zone, Deadline: r.deadline, Rank: r.rank,
 		Begun: n.begun(r), Ahead: n.ahead(r, i),
 	}
-	job.Finish = r.due.Add(-n.firstTime(r))
+	// A client may give up before the answer is due.
+	latest := r.due
+	if r.deadline.Before(latest) {
+		latest = r.deadline
+	}
+	job.Finish = latest.Add(-n.firstTime(r))
 	job.Due = job.Finish.Add(-n.after(r, i))
 	for _, before := range s.After {
 		for _, result := range r.stages[before].results {
--- a/story/story.go
+++ b/story/story.go
@@ -100,12 +100,16 @@
 }
 
 // Cause returns the first decision after which the request could not be served, or
-// false if it was served or its end is not known.
+// false if it was served or its end is not known. An upstream's failure that was
+// passed on is a cause of its own.
 func Cause(own []Line) (Line, bool) {
-	if len(own) == 0 || slices.ContainsFunc(own, func(l Line) bool { return l.decision == trace.Answered }) {
+	if len(own) == 0 || slices.ContainsFunc(own, Line.served) {
 		return Line{}, false
 	}
 	for i, l := range own {
+		if l.decision == trace.Answered {
+			return l, true
+		}
 		repairable, blamed := blames[l.decision]
 		if blamed && (!repairable || !repaired(own[i+1:])) {
 			return l, true
@@ -114,6 +118,16 @@
 	return Line{}, false
 }
 
+// firstFailure is the least status of answers that are failures.
+const firstFailure = 400
+
+// served reports whether the line says that the request was answered well. Numbers
+// of JSON are floats; a line without a status counts as well.
+func (l Line) served() bool {
+	status, _ := l.inputs["status"].(float64)
+	return l.decision == trace.Answered && status < firstFailure
+}
+
 // repaired reports whether the request was sent again, or an owner took its stage.
 func repaired(rest []Line) bool {
 	return slices.ContainsFunc(rest, func(l Line) bool { return l.decision == trace.Sent || l.decision == trace.StageAdmitted })
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -1,6 +1,7 @@
 package story
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -16,6 +17,7 @@
 {"time":"2026-12-04T02:00:03.000Z","level":"INFO","msg":"send","request":"c","reason":""}
 {"time":"2026-12-04T02:00:03.100Z","level":"INFO","msg":"attempt failed","request":"c","reason":"","failure":"crossed"}
 {"time":"2026-12-04T02:00:03.200Z","level":"INFO","msg":"reply","request":"c","reason":"upstream broke off","status":502}
+{"time":"2026-12-04T02:00:03.300Z","level":"INFO","msg":"answered","request":"e","reason":"answered","status":500}
 {"time":"2026-12-04T02:00:04.000Z","level":"INFO","msg":"configuration in force","version":3}
 `
 
@@ -43,7 +45,7 @@
 
 func TestCause(t *testing.T) {
 	lines := readTest(t)
-	for _, c := range []struct{ request, want string }{{"a", "stage refused"}, {"b", ""}, {"c", "attempt failed"}, {"d", ""}} {
+	for _, c := range []struct{ request, want string }{{"a", "stage refused"}, {"b", ""}, {"c", "attempt failed"}, {"d", ""}, {"e", "answered"}} {
 		t.Run(c.request, func(t *testing.T) {
 			got, _ := Cause(Of(lines, c.request))
 			if string(got.decision) != c.want {
@@ -55,7 +57,8 @@
 
 func TestSummary(t *testing.T) {
 	got := Summary(readTest(t))
-	if len(got) != 2 || got[0] != (Count{"attempt failed", 1, "c"}) || got[1] != (Count{"stage refused: stage cannot finish in time", 1, "a"}) {
+	want := []Count{{"answered: answered", 1, "e"}, {"attempt failed", 1, "c"}, {"stage refused: stage cannot finish in time", 1, "a"}}
+	if !slices.Equal(got, want) {
 		t.Errorf("summary is %+v", got)
 	}
 }
