--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -276,6 +276,19 @@
 	d.await("the route is gone", func() bool { return d.ask(d.nodes[0], "/new/").status == http.StatusNotFound })
 }
 
+// The store falls silent for a moment while a read of the configuration waits, and
+// never answers that. What is published after it is in force all the same before the
+// read's own time is over.
+func TestSilentStore(t *testing.T) {
+	d := deploy(t, 1)
+	time.Sleep(200 * time.Millisecond)
+	d.store.Silence(true)
+	time.Sleep(500 * time.Millisecond)
+	d.store.Silence(false)
+	stand.Configure(d.store, 2, "/new/")
+	d.await("the new route is served", func() bool { return d.ask(d.nodes[0], "/new/").status == http.StatusOK })
+}
+
 // A node that is stopped finishes what it has, and ends within its grace although
 // clients keep connections open.
 func TestStop(t *testing.T) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -73,6 +73,18 @@
 	// read is when a read last succeeded, and lost whether one has failed since.
 	read time.Time
 	lost bool
+	// cancel ends the read under way, or is nil.
+	cancel context.CancelFunc
+}
+
+// watcher returns what is known of the reading of a stream. The lock must be held.
+func (s *Server) watcher(stream plat.Stream) *watcher {
+	w := s.watchers[stream]
+	if w == nil {
+		w = &watcher{read: s.now()}
+		s.watchers[stream] = w
+	}
+	return w
 }
 
 // upstreamPause returns the pause between two reads of the upstreams.
@@ -92,7 +104,7 @@
 // to take: all newest records at first and after a gap, changes otherwise.
 func (s *Server) follow(stream plat.Stream, wait time.Duration, pace func() time.Duration, take func(records []plat.KeyedRecord, all bool)) {
 	next, known := int64(0), false
-	pause := retryLeast
+	pause, patience := retryLeast, wait
 	for s.context.Err() == nil {
 		var records []plat.KeyedRecord
 		var err error
@@ -102,11 +114,15 @@
 			records, next, err = s.newest(stream)
 		} else {
 			var after int64
-			if records, after, err = s.registry.Changes(s.context, stream, next, wait); err == nil {
+			if records, after, err = s.changes(stream, next, patience); err == nil {
 				next = after
 			}
 		}
 		s.heardStore(stream, began, err)
+		patience = wait
+		if err != nil {
+			patience = min(wait, probeWait)
+		}
 		switch {
 		case errors.Is(err, plat.ErrDropped):
 			known = false
@@ -124,6 +140,20 @@
 	}
 }
 
+// probeWait is how long the read after one that failed waits for changes: one that a
+// silent store never answers must not hold up those that it would.
+const probeWait = 300 * time.Millisecond
+
+// changes reads what has changed, unless the read is cancelled.
+func (s *Server) changes(stream plat.Stream, from int64, wait time.Duration) ([]plat.KeyedRecord, int64, error) {
+	ctx, cancel := context.WithCancel(s.context)
+	defer cancel()
+	s.mu.Lock()
+	s.watcher(stream).cancel = cancel
+	s.mu.Unlock()
+	return s.registry.Changes(ctx, stream, from, wait)
+}
+
 // newestTimeout bounds the reading of all newest records.
 const newestTimeout = 4 * time.Second
 
@@ -140,17 +170,14 @@
 	ok := err == nil || errors.Is(err, plat.ErrDropped)
 	s.metrics.read(stream, ok, now.Sub(began))
 	s.mu.Lock()
-	w := s.watchers[stream]
-	if w == nil {
-		w = &watcher{read: now}
-		s.watchers[stream] = w
-	}
+	w := s.watcher(stream)
 	away, wasLost := now.Sub(w.read), w.lost
 	w.lost = !ok
 	if ok {
 		w.read = now
 		if wasLost && stream == plat.StreamUpstreams {
 			s.directory.StoreReturned(now)
+			s.renewConfigRead()
 		}
 	}
 	s.mu.Unlock()
@@ -162,6 +189,15 @@
 	}
 }
 
+// renewConfigRead ends the read of the configuration that is under way. It may have
+// begun before the store fell silent and then gets no answer, although others do.
+// The lock must be held.
+func (s *Server) renewConfigRead() {
+	if w := s.watcher(plat.StreamConfig); w.cancel != nil {
+		w.cancel()
+	}
+}
+
 // storeAway reports whether the upstreams cannot be read from the store. The lock
 // must be held.
 func (s *Server) storeAway() bool {
