--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,6 +88,10 @@
 	registered bool
 	watchers   map[plat.Stream]*watcher
 
+	// telling is held while the reducers are told of upstreams and services. It
+	// is taken before mu.
+	telling sync.Mutex
+
 	owner     *owner
 	peers     *peers
 	upstreams *connections
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"teaselplank/member"
 	"teaselplank/plat"
+	"teaselplank/platform"
 	"teaselplank/platform/stand"
 )
 
@@ -289,6 +290,37 @@
 	d.await("the new route is served", func() bool { return d.ask(d.nodes[0], "/new/").status == http.StatusOK })
 }
 
+// The configuration and the upstreams are read at the same moment, as at each start:
+// the owner of the stages knows both in the end, whichever came first.
+func TestConfigurationAndUpstreamsAtOnce(t *testing.T) {
+	d := deploy(t, 0)
+	store := platform.NewStore(d.address)
+	configs, _, err := store.Newest(t.Context(), plat.StreamConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	upstreams, _, err := store.Newest(t.Context(), plat.StreamUpstreams)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 300 {
+		s := d.newServer(d.settings("node"))
+		var both sync.WaitGroup
+		both.Go(func() { s.takeConfig(configs, true) })
+		both.Go(func() { s.takeUpstreams(upstreams, true) })
+		both.Wait()
+		for _, p := range s.owner.pools(s.now()) {
+			if p.Workers == 0 {
+				t.Fatalf("owner knows no worker of %q", p.Service)
+			}
+		}
+		if got := len(s.owner.pools(s.now())); got != 2 {
+			t.Fatalf("owner knows %d services, want 2", got)
+		}
+		s.close()
+	}
+}
+
 // A node that is stopped finishes what it has, and ends within its grace although
 // clients keep connections open.
 func TestStop(t *testing.T) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -345,8 +345,11 @@
 
 func parseBorn(incarnation string) (int64, error) { return strconv.ParseInt(incarnation, 10, 64) }
 
-// upstreamsChanged gives the reducers the upstreams as they are now.
+// upstreamsChanged gives the reducers the upstreams as they are now. Those who call it
+// at the same time do so one after the other: what was read last is told last.
 func (s *Server) upstreamsChanged() {
+	s.telling.Lock()
+	defer s.telling.Unlock()
 	s.mu.Lock()
 	upstreams := s.directory.All()
 	var services []fleet.Service
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -79,12 +79,16 @@
 	return l.Addr().String()
 }
 
-func (d *deployment) addNode(id string) *testNode {
-	d.t.Helper()
-	settings := &conf.Entry{
+func (d *deployment) settings(id string) *conf.Entry {
+	return &conf.Entry{
 		Node: id, Zone: "a", Callers: freeAddress(d.t), Ready: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
 		Store: d.address, Budget: budget.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: 6 * time.Second,
 	}
+}
+
+// newServer returns a server that does not serve.
+func (d *deployment) newServer(settings *conf.Entry) *Server {
+	d.t.Helper()
 	server, err := New(Options{
 		Settings: settings, Registry: platform.NewStore(d.address), Protocol: platform.Adapter{},
 		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
@@ -92,6 +96,13 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	return server
+}
+
+func (d *deployment) addNode(id string) *testNode {
+	d.t.Helper()
+	settings := d.settings(id)
+	server := d.newServer(settings)
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{server: server, stop: stop, ended: make(chan error, 1), addr: settings.Callers, ready: settings.Ready}
 	go func() { n.ended <- server.Serve(ctx) }()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,7 +20,7 @@
 	length time.Duration
 	cause  string
 }{
-	{10, 14 * time.Second, "SIGHUP just after the start ended the process"},
+	{10, 14 * time.Second, "SIGHUP just after the start ended the process; an owner that was told twice at once knew no workers"},
 	{12, 14 * time.Second, "SIGHUP just after the start ended the process"},
 }
 
