--- a/batch/admit.go
+++ b/batch/admit.go
@@ -57,13 +57,12 @@
 	}
 }
 
-// admit estimates when all stages of a request that brings its first job are done.
-// It reports whether that is in time, and otherwise after which time a request like
-// it would be. It answers load above what
-// the workers of any one stage carry: a request that would wait too long at a
-// later stage is refused before it costs the earlier ones anything.
-func (s *Scheduler) admit(now time.Time, p *pool, j Job) (done, retry time.Duration, ok bool) {
-	in := p.arrive(now, 0, j.Pieces)
+// admit estimates when all stages of a request are done, whose job is expected to be
+// done after a time. It reports whether that is in time, and otherwise after which
+// time a request like it would be. It answers load above what the workers of any one
+// stage carry: a request that would wait too long at a later stage is refused before
+// it costs the earlier ones anything.
+func (s *Scheduler) admit(now time.Time, in time.Duration, j Job) (done, retry time.Duration, ok bool) {
 	if j.Begun {
 		return in, in, !now.Add(in).After(j.Deadline)
 	}
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -169,7 +169,8 @@
 		return
 	}
 	s.expectNot(j.Ref)
-	done, retry, ok := s.admit(now, p, j)
+	expected := p.arrive(now, 0, j.Pieces)
+	done, retry, ok := s.admit(now, expected, j)
 	if !ok {
 		s.refuse(&job{Job: j}, ReasonLate, s.returns.next(now, retry, s.share(now, j)))
 		return
@@ -177,7 +178,7 @@
 	s.askAll(now, p)
 	s.emit(Admitted{Ref: j.Ref, Waiting: p.queued(""), Coming: p.coming, Workers: len(p.usable(now)), Done: done})
 	s.expect(j)
-	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces, taken: now, expected: p.arrive(now, 0, j.Pieces)}
+	waiting := &job{Job: j, results: make([]Result, j.Pieces), open: j.Pieces, taken: now, expected: expected}
 	for i := range j.Pieces {
 		waiting.pending = append(waiting.pending, i)
 	}
--- a/relay/beliefs.go
+++ b/relay/beliefs.go
@@ -10,8 +10,8 @@
 // implement prometheus.Collector.
 type beliefs struct{ server *Server }
 
-func describe(name, help string, labels ...string) *prometheus.Desc {
-	return prometheus.NewDesc("teaselplank_"+name, help, labels, nil)
+func describe(name, help, label string) *prometheus.Desc {
+	return prometheus.NewDesc("teaselplank_"+name, help, []string{label}, nil)
 }
 
 var (
--- a/relay/client.go
+++ b/relay/client.go
@@ -8,6 +8,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/flow"
+	"teaselplank/trace"
 )
 
 // defaultMaxBody bounds a client's body, in bytes, while no configuration does.
@@ -17,9 +18,7 @@
 func (s *Server) serveClient(w http.ResponseWriter, r *http.Request) {
 	q, err := s.protocol.Request(r)
 	if err != nil {
-		s.logger.Info("reply", "request", q.ID, "reason", string(flow.ReasonBad), "status", http.StatusBadRequest, "cause", err.Error())
-		s.protocol.Reply(w.Header(), q.ID, 0)
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		s.notValid(w, q, http.StatusBadRequest, err.Error(), err)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBody()))
@@ -48,9 +47,14 @@
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	s.logger.Info("reply", "request", q.ID, "reason", string(flow.ReasonBad), "status", status, "cause", err.Error())
+	s.notValid(w, q, status, http.StatusText(status), err)
+}
+
+// notValid answers a request that cannot be read, with a text for its client.
+func (s *Server) notValid(w http.ResponseWriter, q flow.Request, status int, text string, cause error) {
+	s.decided(trace.Replied, "request", q.ID, "reason", string(flow.ReasonBad), "status", status, "cause", cause.Error())
 	s.protocol.Reply(w.Header(), q.ID, 0)
-	http.Error(w, http.StatusText(status), status)
+	http.Error(w, text, status)
 }
 
 // An exchange is one request of a client from its arrival to its final answer. It
