Answer requests on kept connections while stopping

Cause: http.Server.SetKeepAlivesEnabled(false) and Shutdown close every connection that does not count as active yet.

Ruled out: a longer wait before SetKeepAlivesEnabled(false), which only moves the gap; ConnState alone, as the state changes after the request was read.

Change: a listener of our own closes only connections from which nothing was read since they became idle, by a read deadline, so the goroutine that reads decides. Requests in progress get their final answer before the end of the grace period; one that is likely to outlast it is refused at once. A closed owner refuses its jobs as not the owner, so the next one runs them.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -106,7 +106,9 @@
 	case SetWorkers:
 		s.update(e)
 	case Drain:
-		s.drain()
+		s.drain(func(j *job) bool { return j.sent })
+	case Close:
+		s.drain(func(*job) bool { return false })
 	case Tick:
 	}
 	s.freeFetchedInputs(now)
@@ -226,12 +228,12 @@
 	s.release(finished)
 }
 
-// drain refuses the jobs of which no piece was sent, and all new ones, so that the
-// next owner gets them.
-func (s *Scheduler) drain() {
+// drain refuses all new jobs and those that the node does not keep, so that the next
+// owner gets them.
+func (s *Scheduler) drain(keep func(*job) bool) {
 	s.draining = true
 	for _, j := range s.jobs {
-		if !j.sent {
+		if !keep(j) {
 			s.refuse(j, ReasonNotOwner, 0)
 		}
 	}
--- a/batch/event.go
+++ b/batch/event.go
@@ -114,6 +114,9 @@
 	// Drain refuses all new jobs and those of which no piece was sent. The other
 	// jobs still finish.
 	Drain struct{}
+	// Close refuses all jobs, also those in progress, since the node no longer gets
+	// answers from workers. The next owner runs them again.
+	Close struct{}
 	// Tick lets the reducer act on the passage of time.
 	Tick struct{}
 )
@@ -126,6 +129,7 @@
 func (SpaceReported) BatchEvent() {}
 func (SetWorkers) BatchEvent()    {}
 func (Drain) BatchEvent()         {}
+func (Close) BatchEvent()         {}
 func (Tick) BatchEvent()          {}
 
 // A Failure says how a whole call failed.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -199,6 +199,7 @@
 		return
 	}
 	n.counts.Finished++
+	n.answerTimes[r.route.Name] = movingAverage(n.answerTimes[r.route.Name], now.Sub(r.arrived))
 	if e.Status < http.StatusInternalServerError {
 		r.upstream.recordSuccess(now, now.Sub(r.sentAt))
 	}
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -81,7 +81,8 @@
 	}
 	// ClientDisconnected reports that the client has disconnected.
 	ClientDisconnected struct{ Number uint64 }
-	// TimedOut reports that the deadline of the request has passed.
+	// TimedOut reports that the deadline of the request has passed, or that a stopping
+	// node ends it early.
 	TimedOut struct {
 		Number          uint64
 		ResponseStarted bool
@@ -94,8 +95,9 @@
 	// NodeCount carries the number of nodes that share the work.
 	NodeCount struct{ Count int }
 	// Stop marks the node as shutting down, so that it is no longer ready. Requests
-	// that still arrive are served.
-	Stop struct{}
+	// that still arrive are served if they are likely to end by the time Until, when
+	// all requests get their final answers.
+	Stop struct{ Until time.Time }
 )
 
 func (RequestArrived) ProxyEvent()      {}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -41,10 +41,14 @@
 	// its first event, by route.
 	firstEventTimes map[string]time.Duration
 	// nodes is the largest number of nodes seen; they share the budget.
-	nodes    int
-	stopping bool
-	effects  []Effect
-	counts   Counts
+	nodes int
+	// answerTimes is the moving average of the time from the arrival of a request to
+	// the end of its answer, by route.
+	answerTimes map[string]time.Duration
+	// stopBy is when all requests must have ended, or zero if the node is not stopping.
+	stopBy  time.Time
+	effects []Effect
+	counts  Counts
 }
 
 // Counts are totals since the process started. They are encoded as JSON under the
@@ -62,6 +66,7 @@
 		pools:           make(map[string]*pool),
 		requests:        make(map[uint64]*request),
 		firstEventTimes: make(map[string]time.Duration),
+		answerTimes:     make(map[string]time.Duration),
 		nodes:           1,
 		counts:          Counts{Replies: make(map[Reason]int64)},
 	}
@@ -98,7 +103,7 @@
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
 	case Stop:
-		n.stopping = true
+		n.stopBy = e.Until
 	}
 	return n.effects
 }
@@ -115,10 +120,12 @@
 // Table returns the configuration in force, or nil.
 func (n *Node) Table() *fleet.Table { return n.table }
 
+func (n *Node) stopping() bool { return !n.stopBy.IsZero() }
+
 // Unready returns why the node cannot serve requests, or an empty string.
 func (n *Node) Unready() string {
 	switch {
-	case n.stopping:
+	case n.stopping():
 		return string(ReasonStopping)
 	case n.table == nil:
 		return string(ReasonNoConfig)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -142,6 +142,10 @@
 	r.service = r.route.Target(q.ID)
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.setDeadlines(now, r)
+	if n.outlastsStop(now, r) {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
+		return
+	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
 	n.chooseHomeZone(now, r)
 	n.counts.Admitted++
@@ -188,6 +192,22 @@
 	r.due = now.Add(r.route.Objective)
 }
 
+// stopSafetyFactor allows for answers that take longer than the average.
+const stopSafetyFactor = 1.5
+
+// outlastsStop reports whether the node is stopping and the request is not likely to end
+// before that.
+func (n *Node) outlastsStop(now time.Time, r *request) bool {
+	if !n.stopping() {
+		return false
+	}
+	expected, ok := n.answerTimes[r.route.Name]
+	if !ok {
+		expected = r.route.Objective
+	}
+	return now.Add(time.Duration(stopSafetyFactor * float64(expected))).After(n.stopBy)
+}
+
 // fail ends a request without a complete response. If an attempt without a complete
 // response may have been executed, the reply is a 502, since a 503 tells the client that
 // the request was not executed.
@@ -261,15 +281,19 @@
 	if r == nil {
 		return
 	}
+	reason := ReasonTimeout
+	if n.stopping() && now.Before(r.deadline) {
+		reason = ReasonStopping
+	}
 	if e.ResponseStarted || r.responseStarted {
-		n.abort(now, r, ReasonTimeout)
+		n.abort(now, r, reason)
 		return
 	}
 	if r.outcomeUnknown || r.upstream != nil {
-		n.reply(now, r, http.StatusGatewayTimeout, ReasonTimeout, 0)
+		n.reply(now, r, http.StatusGatewayTimeout, reason, 0)
 		return
 	}
-	n.reply(now, r, http.StatusServiceUnavailable, ReasonTimeout, busyRetryAfter)
+	n.reply(now, r, http.StatusServiceUnavailable, reason, busyRetryAfter)
 }
 
 // abort aborts a response that the client has part of.
--- a/relay/client.go
+++ b/relay/client.go
@@ -67,9 +67,11 @@
 	body        []byte
 	request     proxy.Request
 
-	// context ends when the client disconnects or the deadline passes.
-	context context.Context
-	cancel  context.CancelFunc
+	// context ends when the client disconnects, the deadline passes or the node stops.
+	// cancel ends it early; stopTimer releases the timer of the deadline.
+	context   context.Context
+	cancel    context.CancelFunc
+	stopTimer context.CancelFunc
 	events  chan proxy.Event
 	// stageCancels cancels the stages that were started.
 	stageCancels map[int]context.CancelFunc
@@ -88,7 +90,10 @@
 // run serves the request until it has ended.
 func (x *exchange) run() {
 	x.context, x.cancel = context.WithCancel(x.httpRequest.Context())
-	defer func() { x.cancel() }()
+	x.stopTimer = x.cancel
+	defer x.cancel()
+	defer func() { x.stopTimer() }()
+	defer context.AfterFunc(x.server.requests, x.cancel)()
 	x.step(proxy.RequestArrived{Request: x.request})
 	for !x.finished {
 		select {
@@ -120,7 +125,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case proxy.Admitted:
-			x.context, x.cancel = context.WithDeadline(x.httpRequest.Context(), e.Deadline)
+			x.context, x.stopTimer = context.WithDeadline(x.context, e.Deadline)
 		case proxy.RunStage:
 			x.runStage(e.Job)
 		case proxy.Withdraw:
--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -122,7 +122,11 @@
 
 func (d *deployment) addNode(id string) *testNode {
 	d.t.Helper()
-	settings := d.settings(id)
+	return d.addNodeWith(d.settings(id))
+}
+
+func (d *deployment) addNodeWith(settings *conf.EntrySettings) *testNode {
+	d.t.Helper()
 	server := d.newServer(settings)
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{server: server, stop: stop, ended: make(chan error, 1), addr: settings.Callers, ready: settings.Ready}
@@ -160,6 +164,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is true if the answer says that the connection is closed after it.
+	closes bool
 	err    error
 }
 
@@ -184,7 +190,7 @@
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
-	return result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+	return result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), closes: answer.Close, err: err}
 }
 
 func wantStatus(t *testing.T, r result, status int) {
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -35,6 +35,9 @@
 	o.mu.Lock()
 	o.waiters[job.Ref] = done
 	o.mu.Unlock()
+	if o.server.context.Err() != nil {
+		o.step(batch.Close{})
+	}
 	o.step(batch.Submit{Job: job})
 	select {
 	case e := <-done:
@@ -134,6 +137,11 @@
 func (o *owner) sendCall(c batch.Call) {
 	started := time.Now()
 	outcomes, failure := o.callWorker(c)
+	if o.server.context.Err() != nil {
+		// The call may have failed only because this node has closed its connections.
+		o.step(batch.Close{})
+		return
+	}
 	o.server.metrics.observeCall(c.Worker.Service, string(failure), time.Since(started))
 	o.server.logger.Info("stage call", "service", c.Worker.Service, "worker", c.Worker.ID, "zone", c.Worker.Zone,
 		"pieces", len(c.Items), "first", c.Items[0].Ref.Request, "last", c.Items[len(c.Items)-1].Ref.Request,
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// An owner that has closed its connections to workers but still takes jobs must hand them
+// back, so that they run at the next owner.
+func TestClosedOwner(t *testing.T) {
+	d := deploy(t, 2)
+	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
+	d.await("both nodes choose the same owner", func() bool {
+		return d.nodes[0].server.stageOwner().ID == "node-0" && d.nodes[1].server.stageOwner().ID == "node-0"
+	})
+	d.nodes[0].server.close()
+	d.nodes[0].server.conns.sweep(func(string, int64) bool { return false })
+	r := d.ask(d.nodes[1], stand.PathStream)
+	wantStatus(t, r, http.StatusOK)
+	if r.body != allEvents {
+		t.Errorf("events are %q, want all", r.body)
+	}
+}
+
 func TestCompareOwners(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,9 +99,12 @@
 
 	lastNumber atomic.Uint64
 	draining   atomic.Bool
-	// context ends when the server closes.
-	context context.Context
-	close   context.CancelFunc
+	// context ends when the server closes, and requests when the requests in progress
+	// must end.
+	context     context.Context
+	close       context.CancelFunc
+	requests    context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a server that does nothing until Serve is called.
@@ -111,6 +114,7 @@
 		return nil, fmt.Errorf("generate incarnation: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	requests, endRequests := context.WithCancel(ctx)
 	s := &Server{
 		settings: o.Settings,
 		registry: o.Registry,
@@ -123,6 +127,9 @@
 		streams:  make(map[infra.Stream]*streamState),
 		context:  ctx,
 		close:    cancel,
+
+		requests:    requests,
+		endRequests: endRequests,
 	}
 	config := member.DefaultConfig()
 	config.Self, config.Seeds = s.self, o.Settings.Seeds
@@ -131,6 +138,7 @@
 	s.conns = newConnPool()
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
+	context.AfterFunc(ctx, func() { s.owner.step(batch.Close{}) })
 	return s, nil
 }
 
@@ -179,18 +187,22 @@
 	defer s.close()
 	addresses := []string{s.settings.Callers, s.settings.Ready, s.settings.Peers, s.settings.Metrics}
 	handlers := []http.Handler{http.HandlerFunc(s.serveClient), http.HandlerFunc(s.serveReady), s.peerHandler(), s.operatorHandler()}
-	servers := make([]*http.Server, len(addresses))
+	var clients *clientListener
 	errs := make(chan error, len(addresses))
 	for i, addr := range addresses {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return fmt.Errorf("listen on %q: %w", addr, err)
 		}
-		servers[i] = &http.Server{
+		server := &http.Server{
 			Handler: handlers[i], ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 		}
-		go func() { errs <- servers[i].Serve(l) }()
+		if addr == s.settings.Callers {
+			clients = newClientListener(l)
+			l, server.ConnState = clients, clients.track
+		}
+		go func() { errs <- server.Serve(l) }()
 	}
 	s.logger.Info("node started", "node", s.self.ID, "incarnation", s.self.Incarnation, "zone", s.self.Zone)
 	s.startLoops()
@@ -199,7 +211,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain(servers[0])
+	s.drain(clients)
 	s.logger.Info("node stopped", "node", s.self.ID)
 	return nil
 }
@@ -215,40 +227,50 @@
 	// notReadyDelay is how long the platform's front end may still send new
 	// connections to a node that reports not ready.
 	notReadyDelay = 2600 * time.Millisecond
-	// graceMargin is the part of the grace period left unused, so that the process
-	// exits before the platform kills it.
-	graceMargin = 700 * time.Millisecond
+	// answerMargin is how long before the end of the grace period the requests in
+	// progress get their final answers, and exitMargin how long before it the process
+	// exits, so that the platform does not kill it.
+	answerMargin = 700 * time.Millisecond
+	exitMargin   = 350 * time.Millisecond
+	// drainPollInterval is how often a draining node checks for work in progress.
+	drainPollInterval = 20 * time.Millisecond
+	// handOverTime is how long a stopping owner takes to tell other nodes that it has
+	// given up their jobs.
+	handOverTime = 50 * time.Millisecond
 )
 
-// drain reports the node as not ready, keeps serving the requests that still arrive,
-// and then waits for those in flight.
-func (s *Server) drain(clients *http.Server) {
-	end := time.Now().Add(s.settings.Grace - graceMargin)
+// drain reports the node as not ready and keeps serving the requests that still arrive.
+// Once the front end has noticed, it closes idle connections and waits until all requests
+// and the jobs of other nodes have ended. Requests in progress near the end of the grace
+// period get a final answer.
+func (s *Server) drain(clients *clientListener) {
+	begin := time.Now()
+	answerBy := begin.Add(s.settings.Grace - answerMargin)
+	exitBy := begin.Add(s.settings.Grace - exitMargin)
 	s.logger.Info("node is draining", "node", s.self.ID, "requests", s.requestCount())
 	s.draining.Store(true)
-	s.step(proxy.Stop{})
+	s.step(proxy.Stop{Until: s.now().Add(time.Until(answerBy))})
 	s.memberStep(member.Stop{})
 	go s.deregister()
 	if s.stageOwner().ID != s.self.ID {
 		s.owner.step(batch.Drain{})
 	}
-	clients.SetKeepAlivesEnabled(false)
+	overdue := time.AfterFunc(time.Until(answerBy), s.endRequests)
+	defer overdue.Stop()
 	time.Sleep(min(notReadyDelay, s.settings.Grace/3))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
-		s.logger.Warn("node stops with requests in flight", "requests", s.requestCount(), "error", err.Error())
-	}
-	// Other nodes take over the jobs that this node owns once it has stopped. Give
-	// those in flight the rest of the grace period.
-	for s.owner.busy() && time.Now().Before(end) {
+	for time.Now().Before(exitBy) && (clients.len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
+		clients.closeIdle(time.Now())
 		time.Sleep(drainPollInterval)
 	}
+	if s.owner.busy() {
+		s.owner.step(batch.Close{})
+		time.Sleep(handOverTime)
+	}
+	if left := s.requestCount(); left > 0 {
+		s.logger.Warn("node stops with requests in progress", "requests", left)
+	}
 }
 
-// drainPollInterval is how often drain checks for remaining jobs of other nodes.
-const drainPollInterval = 20 * time.Millisecond
-
 func (s *Server) requestCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/relay/stop_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+// Clients send on connections that they kept open at each millisecond around the stop of
+// a node. Each of them must get its answer.
+func TestKeptConnectionsAtStop(t *testing.T) {
+	const (
+		connections = 120
+		lead        = 40 * time.Millisecond
+	)
+	d := deploy(t, 1)
+	n := d.nodes[0]
+	clients := make([]*keptConn, connections)
+	for i := range clients {
+		clients[i] = dialKept(t, n.addr)
+		if err := clients[i].ask(fmt.Sprint("first-", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := time.Now()
+	var group sync.WaitGroup
+	for i, c := range clients {
+		group.Go(func() {
+			time.Sleep(time.Until(start.Add(time.Duration(i) * time.Millisecond)))
+			if err := c.ask(fmt.Sprint("second-", i)); err != nil {
+				t.Errorf("request %s after the stop: %v", time.Duration(i)*time.Millisecond-lead, err)
+			}
+		})
+	}
+	time.Sleep(time.Until(start.Add(lead)))
+	n.stop()
+	group.Wait()
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A keptConn is a client's connection that stays open between requests.
+type keptConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	addr   string
+}
+
+func dialKept(t *testing.T, addr string) *keptConn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &keptConn{conn: c, reader: bufio.NewReader(c), addr: addr}
+}
+
+// ask sends a request and reads the whole answer. It fails unless the answer is the
+// upstream's.
+func (k *keptConn) ask(id string) error {
+	r, err := stand.NewRequest(k.addr, stand.PathSafe, id)
+	if err != nil {
+		return err
+	}
+	if err := r.Write(k.conn); err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	answer, err := http.ReadResponse(k.reader, r)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("status is %d", answer.StatusCode)
+	}
+	return nil
+}
+
+// A request whose stage never ends must have its final answer before the grace period of
+// a stopping node is over. It was not sent, so the answer is that it was not run.
+func TestStopEndsRequests(t *testing.T) {
+	d := deploy(t, 0)
+	for _, w := range d.workers {
+		if w.Kind == stand.Stage {
+			w.Delay = time.Minute
+		}
+	}
+	settings := d.settings("alone")
+	settings.Grace = 2 * time.Second
+	n := d.addNodeWith(settings)
+	d.await("the node is ready", func() bool { return d.isReady(n) })
+	answered := make(chan result, 1)
+	go func() { answered <- d.ask(n, stand.PathStream) }()
+	d.await("the request is in progress", func() bool { return n.server.requestCount() == 1 })
+	stopped := time.Now()
+	n.stop()
+	r := <-answered
+	wantStatus(t, r, http.StatusServiceUnavailable)
+	if took := time.Since(stopped); took > settings.Grace {
+		t.Errorf("answer came %s after the stop, want at most %s", took, settings.Grace)
+	}
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A stopping node must refuse at once a request that would outlast its grace period.
+func TestStopRefusesLongRequests(t *testing.T) {
+	d := deploy(t, 1)
+	n := d.nodes[0]
+	for _, w := range d.workers {
+		if w.Kind == stand.Engine {
+			w.Delay = 300 * time.Millisecond
+		}
+	}
+	wantStatus(t, d.ask(n, stand.PathStream), http.StatusOK)
+	settings := d.settings("short")
+	settings.Grace = 2 * time.Second
+	short := d.addNodeWith(settings)
+	d.await("the node is ready", func() bool { return d.isReady(short) })
+	wantStatus(t, d.ask(short, stand.PathStream), http.StatusOK)
+	short.stop()
+	d.await("the node is draining", func() bool { return short.server.draining.Load() })
+	sent := time.Now()
+	r := d.ask(short, stand.PathStream)
+	wantStatus(t, r, http.StatusServiceUnavailable)
+	if took := time.Since(sent); took > 200*time.Millisecond {
+		t.Errorf("refusal came after %s, want it at once", took)
+	}
+	if r.header.Get("Retry-After") == "" || !r.closes {
+		t.Errorf("headers are %v, connection closes: %v; want a time to retry and the connection closed", r.header, r.closes)
+	}
+}
