Stop using upstreams that say so in a response

Requests, stage calls, releases and reports each had their own way.

Change: every response passes one function of the shell. A leaving upstream gets the mark that gossip spreads, also in upstreams that a peer sends. A pause that it asks for is a limit for requests, stage calls, releases and reports of this host; each host adds up to a quarter, so that they do not return at once. If all upstreams of a service ask for a pause, callers are refused with the earliest end.

Ruled out: health.Record.Hold, which the next success clears and the next failure shortens.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -105,6 +105,8 @@
 		s.spaceReported(now, e)
 	case SetWorkers:
 		s.update(e)
+	case Held:
+		s.hold(e)
 	case Drain:
 		s.drain(func(j *job) bool { return j.sent })
 	case Close:
@@ -170,7 +172,7 @@
 	}
 	p := s.pools[j.Service]
 	if p == nil || len(p.usable(now)) == 0 {
-		s.refuse(&job{Job: j}, ReasonNoWorker, noWorkerRetryAfter)
+		s.refuse(&job{Job: j}, ReasonNoWorker, max(noWorkerRetryAfter, p.holdLeft(now)))
 		return
 	}
 	s.removeUpcoming(j.Ref)
@@ -197,13 +199,19 @@
 func (s *Scheduler) queryMemory(now time.Time, p *pool) {
 	if now.Sub(p.lastJobAt) > p.batch.ResultTTL {
 		for _, w := range p.workers {
-			s.emit(QueryMemory{Worker: w.upstream})
+			s.queryWorker(now, w)
 		}
 	}
 	p.lastJobAt = now
 }
 
-// noWorkerRetryAfter is the retry time of jobs refused for lack of a worker.
+func (s *Scheduler) queryWorker(now time.Time, w *worker) {
+	if !w.onHold(now) {
+		s.emit(QueryMemory{Worker: w.upstream})
+	}
+}
+
+// noWorkerRetryAfter is the minimum retry time of jobs refused for lack of a worker.
 const noWorkerRetryAfter = time.Second
 
 func (s *Scheduler) refuse(j *job, reason Reason, retryAfter time.Duration) {
@@ -313,7 +321,7 @@
 	case o.Failure == NoRoom:
 		s.counts.NoRoom++
 		w.outOfSpace(now)
-		s.emit(QueryMemory{Worker: w.upstream})
+		s.queryWorker(now, w)
 		s.requeue(now, p, false)
 	case o.Failure == InputLost:
 		s.counts.Gone++
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -385,3 +385,36 @@
 		t.Errorf("%d jobs are left, want none", h.scheduler.Len())
 	}
 }
+
+// A worker that asked for a pause must get no call of any kind until the pause is over:
+// no pieces, no releases of results and no question for its memory.
+func TestPauseOfWorker(t *testing.T) {
+	const pause = time.Second
+	workers := []fleet.Upstream{{ID: "w", Born: 1, Service: "s", Addr: "w:1", Zone: "a"}}
+	var s Scheduler
+	s.Step(start, SetWorkers{Services: []fleet.Service{{Name: "s", Batch: &fleet.Batch{
+		MaxRunning: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, ResultMemory: 1 << 20, ResultTTL: time.Second,
+	}}}, Upstreams: workers})
+	s.Step(start, Held{Worker: "w", Born: 1, Until: start.Add(pause)})
+	job := Job{Ref: Ref{Request: "r"}, Service: "s", Pieces: 2, Key: "k", Zone: "a",
+		Due: start.Add(pause), StagesDue: start.Add(pause), Deadline: start.Add(2 * pause)}
+	for _, e := range s.Step(start, Submit{Job: job}) {
+		refused, ok := e.(Refused)
+		if !ok {
+			t.Fatalf("effect %#v during the pause, want only a refusal", e)
+		}
+		if refused.Reason != ReasonNoWorker || refused.RetryAfter < pause {
+			t.Errorf("job is refused for %q with retry after %s, want %q and at least %s", refused.Reason, refused.RetryAfter, ReasonNoWorker, pause)
+		}
+	}
+	if effects := s.Step(start.Add(pause/2), Release{Results: []Result{{Handle: "h", Addr: "w:1"}}}); len(effects) > 0 {
+		t.Errorf("effects %#v during the pause, want none", effects)
+	}
+	after := s.Step(start.Add(pause), Tick{})
+	if len(after) != 1 {
+		t.Fatalf("effects %#v after the pause, want the release", after)
+	}
+	if free, ok := after[0].(Free); !ok || len(free.Handles) != 1 {
+		t.Errorf("effect %#v after the pause, want the release", after[0])
+	}
+}
--- a/batch/event.go
+++ b/batch/event.go
@@ -111,6 +111,12 @@
 		Services  []fleet.Service
 		Upstreams []fleet.Upstream
 	}
+	// Held reports that a worker process wants no calls until the given time.
+	Held struct {
+		Worker string
+		Born   int64
+		Until  time.Time
+	}
 	// Drain refuses all new jobs and those of which no piece was sent. The other
 	// jobs still finish.
 	Drain struct{}
@@ -128,6 +134,7 @@
 func (FreeEnded) BatchEvent()     {}
 func (SpaceReported) BatchEvent() {}
 func (SetWorkers) BatchEvent()    {}
+func (Held) BatchEvent()          {}
 func (Drain) BatchEvent()         {}
 func (Close) BatchEvent()         {}
 func (Tick) BatchEvent()          {}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -90,6 +90,24 @@
 	return fast
 }
 
+// holdLeft returns how long all workers want no calls, or 0 if one of them accepts some.
+func (p *pool) holdLeft(now time.Time) time.Duration {
+	if p == nil {
+		return 0
+	}
+	var shortest time.Duration
+	for _, w := range p.workers {
+		switch left := w.heldUntil.Sub(now); {
+		case w.upstream.Draining:
+		case left <= 0:
+			return 0
+		case shortest == 0 || left < shortest:
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // sweep removes the jobs without pending pieces from the queue.
 func (p *pool) sweep() {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return len(j.pending) == 0 })
@@ -133,7 +151,7 @@
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.expireJobs(now, p)
 	for _, w := range p.workers {
-		if len(w.toFree) > 0 && now.Sub(w.lastFreeAt) >= freeInterval {
+		if len(w.toFree) > 0 && !w.onHold(now) && now.Sub(w.lastFreeAt) >= freeInterval {
 			s.emit(Free{Worker: w.upstream, Handles: w.toFree})
 			w.toFree, w.lastFreeAt = nil, now
 		}
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -23,6 +23,9 @@
 	// pausedUntil is when the worker may get calls again after it had no capacity or
 	// memory.
 	pausedUntil time.Time
+	// heldUntil is when the worker accepts calls of any kind again, after it asked for
+	// a pause.
+	heldUntil time.Time
 	// held maps handles to the results at the worker, usedBytes is their approximate
 	// size, and reservedBytes that of the results of the calls in flight.
 	held          map[string]heldResult
@@ -82,7 +85,18 @@
 
 // usable reports whether the worker can be sent calls at all.
 func (w *worker) usable(now time.Time) bool {
-	return !w.upstream.Draining && !w.health.Suspect(now)
+	return !w.upstream.Draining && !w.onHold(now) && !w.health.Suspect(now)
+}
+
+// onHold reports whether the worker wants no calls of any kind now.
+func (w *worker) onHold(now time.Time) bool { return now.Before(w.heldUntil) }
+
+// hold records that a worker wants no calls for some time.
+func (s *Scheduler) hold(e Held) {
+	w := s.worker(e.Worker)
+	if w != nil && w.upstream.Born == e.Born && e.Until.After(w.heldUntil) {
+		w.heldUntil = e.Until
+	}
 }
 
 // slots returns the number of calls that the worker runs at once.
--- /dev/null
+++ b/fleet/notice.go
@@ -0,0 +1,28 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Notice is what an upstream says about itself in a response, whatever the response
+// is to.
+type Notice struct {
+	// Leaving is true if the process is about to end and must get no new work.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests from this node, or 0.
+	RetryAfter time.Duration
+}
+
+// maxHoldSpread is the largest share of RetryAfter that is added to a hold, so that the
+// nodes an upstream has turned away do not all come back at once.
+const maxHoldSpread = 0.25
+
+// Hold returns how long a node sends nothing to the upstream.
+func (n Notice) Hold(node, upstream string) time.Duration {
+	hash := xxhash.Sum64String(node + "\x00" + upstream)
+	spread := maxHoldSpread * float64(hash) / math.MaxUint64
+	return n.RetryAfter + time.Duration(spread*float64(n.RetryAfter))
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -37,7 +37,7 @@
 	}
 	chosen, ok := n.pick(p.candidates(now, r.tried), r)
 	if !ok {
-		n.fail(now, r, ReasonNoUpstream, upstreamRetryAfter)
+		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.holdLeft(now)))
 		return
 	}
 	if !r.apply(transitionSend) {
@@ -145,8 +145,12 @@
 	}
 	n.endAttempt(r)
 	p := n.pools[r.service]
-	if r.attempt >= maxAttempts || p == nil || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
-		n.fail(now, r, ReasonFull, busyRetryAfter)
+	if p == nil {
+		n.fail(now, r, ReasonNoUpstream, upstreamRetryAfter)
+		return
+	}
+	if r.attempt >= maxAttempts || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
+		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.holdLeft(now)))
 		return
 	}
 	n.retry(now, r, "upstream refused")
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -92,6 +92,13 @@
 	Configured struct{ Table *fleet.Table }
 	// UpstreamsRegistered carries all registered upstreams of the deployment.
 	UpstreamsRegistered struct{ Upstreams []fleet.Upstream }
+	// UpstreamHeld reports that an upstream process wants no requests from this node
+	// until the given time.
+	UpstreamHeld struct {
+		ID    string
+		Born  int64
+		Until time.Time
+	}
 	// NodeCount carries the number of nodes that share the work.
 	NodeCount struct{ Count int }
 	// Stop marks the node as shutting down, so that it is no longer ready. Requests
@@ -111,6 +118,7 @@
 func (TimedOut) ProxyEvent()            {}
 func (Configured) ProxyEvent()          {}
 func (UpstreamsRegistered) ProxyEvent() {}
+func (UpstreamHeld) ProxyEvent()        {}
 func (NodeCount) ProxyEvent()           {}
 func (Stop) ProxyEvent()                {}
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -100,6 +100,8 @@
 		n.configure(e.Table)
 	case UpstreamsRegistered:
 		n.register(e.Upstreams)
+	case UpstreamHeld:
+		n.hold(e)
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
 	case Stop:
@@ -151,13 +153,19 @@
 }
 
 // Usable reports whether requests may still be sent to an upstream. Callers check it
-// again after they have connected, because the upstream may have started to drain in
-// the meantime.
-func (n *Node) Usable(id string, born int64) bool {
+// again after they have connected, because the upstream may have started to drain or
+// asked for a pause in the meantime.
+func (n *Node) Usable(now time.Time, id string, born int64) bool {
+	u := n.upstream(id)
+	return u != nil && u.Born == born && !u.Draining && !u.onHold(now)
+}
+
+// upstream returns an upstream by its id, or nil.
+func (n *Node) upstream(id string) *upstream {
 	for _, p := range n.pools {
 		if u := p.byID[id]; u != nil {
-			return u.Born == born && !u.Draining
+			return u
 		}
 	}
-	return false
+	return nil
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -367,8 +367,64 @@
 		born int64
 		want bool
 	}{{"deska", 1, false}, {"deskb", 2, true}, {"deskb", 1, false}, {"deskc", 1, false}} {
-		if got := h.node.Usable(c.id, c.born); got != c.want {
+		if got := h.node.Usable(h.now, c.id, c.born); got != c.want {
 			t.Errorf("upstream %q born %d is usable: %v, want %v", c.id, c.born, got, c.want)
 		}
 	}
 }
+
+// An upstream that asked for a pause must get no request until the pause is over, although
+// requests that it took before still succeed.
+func TestPauseOfUpstream(t *testing.T) {
+	const pause = 2 * time.Second
+	hold := func(h *harness, ids ...string) {
+		for _, id := range ids {
+			h.step(UpstreamHeld{ID: id, Born: 1, Until: h.now.Add(pause)})
+		}
+	}
+	t.Run("others are used", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/safe/x")
+		first := find[Send](h)
+		hold(h, first.Upstream.ID)
+		h.respond(1, http.StatusOK, false)
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+		for range 20 {
+			h.arrive("/safe/x")
+			if got := find[Send](h).Upstream.ID; got == first.Upstream.ID {
+				t.Fatalf("request went to %s, which asked for a pause", got)
+			}
+		}
+		if h.node.Usable(h.now, first.Upstream.ID, 1) {
+			t.Error("upstream is usable during its pause")
+		}
+		if h.now = h.now.Add(pause); !h.node.Usable(h.now, first.Upstream.ID, 1) {
+			t.Error("upstream is not usable after its pause")
+		}
+	})
+	t.Run("a shorter pause does not end a longer one", func(t *testing.T) {
+		h := newHarness(t)
+		hold(h, "deska")
+		h.step(UpstreamHeld{ID: "deska", Born: 1, Until: h.now.Add(pause / 2)})
+		if h.node.Usable(h.now.Add(pause*3/4), "deska", 1) {
+			t.Error("upstream is usable during its longer pause")
+		}
+	})
+	t.Run("a new process is not held", func(t *testing.T) {
+		h := newHarness(t)
+		hold(h, "deska")
+		h.step(UpstreamsRegistered{Upstreams: []fleet.Upstream{{ID: "deska", Born: 2, Service: "desk"}}})
+		if !h.node.Usable(h.now, "deska", 2) {
+			t.Error("new process is not usable")
+		}
+	})
+	t.Run("all ask for a pause", func(t *testing.T) {
+		h := newHarness(t)
+		hold(h, "deska", "deskb", "deskc")
+		h.arrive("/safe/x")
+		h.wantReply(http.StatusServiceUnavailable, ReasonNoUpstream)
+		if got := find[Reply](h).RetryAfter; got < pause || got > pause+retryJitter {
+			t.Errorf("retry after %s, want %s when the first pause ends", got, pause)
+		}
+	})
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -107,6 +107,7 @@
 		}
 		return nil, failure
 	}
+	x.server.observeNotice(e.Upstream, response)
 	return &answer{send: e, response: response, conn: c, stop: stop}, ""
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -72,7 +72,7 @@
 	context   context.Context
 	cancel    context.CancelFunc
 	stopTimer context.CancelFunc
-	events  chan proxy.Event
+	events    chan proxy.Event
 	// stageCancels cancels the stages that were started.
 	stageCancels map[int]context.CancelFunc
 	// answer is the answer of the current attempt, or nil.
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 
+	"teaselplank/batch"
 	"teaselplank/fleet"
+	"teaselplank/member"
+	"teaselplank/proxy"
 )
 
 // Errors of connecting to an upstream. Each means that nothing was sent, so the request
@@ -38,5 +42,39 @@
 func (s *Server) usable(u fleet.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.node.Usable(u.ID, u.Born)
+	return s.node.Usable(s.now(), u.ID, u.Born)
+}
+
+// observeNotice applies what an upstream says about itself in a response. All requests to
+// upstreams pass their responses to it.
+func (s *Server) observeNotice(u fleet.Upstream, r *http.Response) {
+	notice := s.protocol.ParseNotice(r)
+	if notice.Leaving {
+		s.markLeaving(u)
+	}
+	if notice.RetryAfter > 0 {
+		s.holdUpstream(u, notice)
+	}
+}
+
+func (s *Server) markLeaving(u fleet.Upstream) {
+	mark := leavingMark(u)
+	s.mu.Lock()
+	known := s.group.IsLeaving(mark.Host, mark.Incarnation)
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	s.logger.Info("upstream is leaving", "upstream", u.ID, "born", u.Born, "source", "response")
+	s.memberStep(member.MarkObserved{Mark: mark})
+}
+
+// holdUpstream keeps this node from sending anything to an upstream for as long as the
+// upstream asks for.
+func (s *Server) holdUpstream(u fleet.Upstream, notice fleet.Notice) {
+	hold := notice.Hold(s.self.ID, u.ID)
+	until := s.now().Add(hold)
+	s.logger.Info("upstream asked for a pause", "upstream", u.ID, "service", u.Service, "asked_ms", notice.RetryAfter.Milliseconds(), "pause_ms", hold.Milliseconds())
+	s.step(proxy.UpstreamHeld{ID: u.ID, Born: u.Born, Until: until})
+	s.owner.step(batch.Held{Worker: u.ID, Born: u.Born, Until: until})
 }
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -219,6 +219,7 @@
 		s.metrics.countUpstreamFailure(u.Service, "exchange")
 		return 0, nil, nil, batch.ConnectionFailed
 	}
+	s.observeNotice(u, response)
 	c.setReadTimeout(ctx, timeout)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -316,6 +316,8 @@
 	}
 	changed := false
 	for _, u := range upstreams {
+		mark := leavingMark(u)
+		u.Draining = u.Draining || s.group.IsLeaving(mark.Host, mark.Incarnation)
 		changed = s.directory.Put(u) || changed
 	}
 	s.upstreamsKnown = s.upstreamsKnown || len(upstreams) > 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,9 @@
 	ParseRequest(r *http.Request) (proxy.Request, error)
 	// ForwardHeader returns the headers of an attempt, given those of the client's request.
 	ForwardHeader(client http.Header, s proxy.Send, now time.Time) http.Header
+	// ParseNotice decodes what an upstream's response of any kind says about the
+	// upstream.
+	ParseNotice(r *http.Response) fleet.Notice
 	// ParseResponse parses the head of an upstream's answer. The id is that of the request
 	// it belongs to.
 	ParseResponse(r *http.Response) (id string, answer proxy.ResponseHead)
