Keep what is gone out of use when the store is restored from a copy

Cause: the directory forgot removed upstreams, so an entry read again put them in use. A reader whose offset lies within the restored log skipped the records before it. Upstreams that are missing in the copy were dropped until their next heartbeat, and a node announced itself once. A node that starts between the restoration and the operator's next write knew only the old configuration.

Change: responses of the store carry its epoch. A cursor (package infra) reads all newest records again after a change of epoch; the first reader that sees it restarts the waiting reads, starts the grace period for missing upstreams and makes the node write its entry again. The directory remembers the last entry of removed upstreams, 4096 at most, and takes back only newer ones. A new node asks a peer that was running before for configuration, upstreams and removals, and is not ready before, for at most 1.5 s.

Ruled out: leaving marks for removed upstreams, as an upstream whose lease lapsed in an outage comes back with the same start time; a comparison of start times, as clocks jump.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"teaselplank/queue"
 )
 
 // An Upstream is the registration of one process that serves calls.
@@ -35,21 +37,46 @@
 // A Directory holds the registered upstreams. The zero value is empty.
 //
 // An upstream whose entry disappears is removed at once, except shortly after a store
-// outage. Its lease may then have expired only because of the outage, so the upstream
-// stays until the end of the grace period in case its entry is written again.
+// outage or the restoration of the store from a copy. Its lease may then have expired only
+// because of the outage, or its entry may be missing in the copy, so the upstream stays
+// until the end of the grace period in case its entry is written again.
+//
+// The directory remembers removed upstreams. An entry of one of them counts only if the
+// process wrote it after the entry last seen, so that a restored store or a peer that
+// missed the removal does not bring back an upstream that is gone.
 type Directory struct {
 	entries map[string]*entry
+	// removed holds the last entry of each removed upstream by id, maxRemovals at most.
+	removed queue.FIFOMap[string, Removal]
 	// graceUntil is the end of the grace period after a store outage.
 	graceUntil time.Time
 }
 
+// maxRemovals bounds the removed upstreams that a directory remembers; the oldest are
+// forgotten. It exceeds the upstreams that are replaced within the time from which a
+// store can be restored.
+const maxRemovals = 4096
+
+// A Removal identifies the last entry of an upstream that was removed.
+type Removal struct {
+	ID   string
+	Born int64
+	Seq  int64
+}
+
+// covers reports whether an entry is not newer than the removal.
+func (r Removal) covers(u Upstream) bool {
+	return u.Born < r.Born || u.Born == r.Born && u.Seq <= r.Seq
+}
+
 type entry struct {
 	upstream Upstream
 	// removeAt is when an upstream without an entry is removed, or zero.
 	removeAt time.Time
 }
 
-// StoreRecovered starts the grace period after a store outage.
+// StoreRecovered starts the grace period after a store outage or a restoration of the
+// store.
 func (d *Directory) StoreRecovered(now time.Time) { d.graceUntil = now.Add(outageGrace) }
 
 // Put adds or updates an entry. It reports whether the directory changes other than
@@ -58,6 +85,9 @@
 	if d.entries == nil {
 		d.entries = make(map[string]*entry)
 	}
+	if r, ok := d.removed.Get(u.ID); ok && r.covers(u) {
+		return false
+	}
 	old := d.entries[u.ID]
 	if old == nil {
 		d.entries[u.ID] = &entry{upstream: u}
@@ -90,10 +120,46 @@
 		e.removeAt = d.graceUntil
 		return false
 	}
-	delete(d.entries, id)
+	d.remove(e.upstream)
 	return true
 }
 
+// remove removes an upstream and remembers its last entry.
+func (d *Directory) remove(u Upstream) {
+	d.removed.Limit = maxRemovals
+	d.removed.Put(u.ID, Removal{ID: u.ID, Born: u.Born, Seq: u.Seq})
+	delete(d.entries, u.ID)
+}
+
+// Removed returns the removed upstreams that the directory remembers.
+func (d *Directory) Removed() []Removal {
+	removals := make([]Removal, 0, d.removed.Len())
+	for _, id := range d.removed.Keys() {
+		r, _ := d.removed.Get(id)
+		removals = append(removals, r)
+	}
+	return removals
+}
+
+// MergeRemoved removes upstreams that another node knows to be gone, unless they have
+// written a newer entry. It reports whether the directory changes.
+func (d *Directory) MergeRemoved(removals []Removal) bool {
+	changed := false
+	for _, r := range removals {
+		known, ok := d.removed.Get(r.ID)
+		if ok && !r.covers(Upstream{Born: known.Born, Seq: known.Seq}) {
+			continue
+		}
+		e := d.entries[r.ID]
+		if e != nil && !r.covers(e.upstream) {
+			continue
+		}
+		changed = changed || e != nil
+		d.remove(Upstream{ID: r.ID, Born: r.Born, Seq: r.Seq})
+	}
+	return changed
+}
+
 // Replace puts all given entries, removes all others and reports whether the
 // directory changes.
 func (d *Directory) Replace(now time.Time, upstreams []Upstream) bool {
@@ -115,9 +181,9 @@
 // period. It reports whether the directory changes.
 func (d *Directory) Expire(now time.Time) bool {
 	changed := false
-	for id, e := range d.entries {
+	for _, e := range d.entries {
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
-			delete(d.entries, id)
+			d.remove(e.upstream)
 			changed = true
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -105,6 +105,70 @@
 			t.Error("the new process is draining")
 		}
 	})
+	t.Run("entry from before the removal is ignored", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Remove(start, "u")
+		older, older2 := u, u
+		older.Seq--
+		older2.Born--
+		for _, stale := range []Upstream{u, older, older2} {
+			if d.Put(stale) {
+				t.Errorf("entry %+v counts after a removal at %+v", stale, u)
+			}
+			d.Replace(start, []Upstream{stale})
+			wantKnown(t, &d, "u", false)
+		}
+	})
+	t.Run("removed process writes again", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Remove(start, "u")
+		next := u
+		next.Seq++
+		d.Put(next)
+		wantKnown(t, &d, "u", true)
+	})
+	t.Run("new process after a removal", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.Remove(start, "u")
+		next := u
+		next.Born, next.Seq = 6, 0
+		d.Put(next)
+		wantKnown(t, &d, "u", true)
+	})
+	t.Run("entry is missing in a restored store", func(t *testing.T) {
+		var d Directory
+		d.Put(u)
+		d.StoreRecovered(start)
+		d.Replace(start, nil)
+		d.Expire(start.Add(outageGrace - time.Millisecond))
+		wantKnown(t, &d, "u", true)
+		d.Expire(start.Add(outageGrace))
+		wantKnown(t, &d, "u", false)
+		d.Put(u)
+		wantKnown(t, &d, "u", false)
+	})
+	t.Run("another node knows of the removal", func(t *testing.T) {
+		var other, d Directory
+		other.Put(u)
+		other.Remove(start, "u")
+		older := u
+		older.Seq--
+		d.Put(older)
+		if !d.MergeRemoved(other.Removed()) {
+			t.Error("merging a removal changes nothing")
+		}
+		wantKnown(t, &d, "u", false)
+		d.Put(older)
+		wantKnown(t, &d, "u", false)
+		newer := u
+		newer.Seq++
+		d.Put(newer)
+		d.MergeRemoved(other.Removed())
+		wantKnown(t, &d, "u", true)
+	})
 	t.Run("heartbeat changes nothing", func(t *testing.T) {
 		var d Directory
 		d.Put(u)
--- a/infra/registry.go
+++ b/infra/registry.go
@@ -31,20 +31,33 @@
 	Value []byte
 }
 
+// An Epoch counts how often the store was restored from a copy. A restored store lacks
+// the newest records of the epoch before and gives out their offsets again, so offsets of
+// different epochs are not comparable.
+type Epoch int64
+
+// A Page holds records of a stream.
+type Page struct {
+	Records []KeyedRecord
+	// Next is the offset from which to read on, in the store of epoch Epoch.
+	Next  int64
+	Epoch Epoch
+}
+
 // ErrOffsetOutOfRange means that the stream no longer has some records that the reader has
 // not seen. It still has the newest record of each key.
 var ErrOffsetOutOfRange = errors.New("offset is outside the retained records of the stream")
 
 // A Registry gives access to keyed streams.
 type Registry interface {
-	// Newest returns the newest record of each key, and the offset from which to
-	// call Changes next. Some of the records may have later offsets.
-	Newest(ctx context.Context, s Stream) ([]KeyedRecord, int64, error)
-	// Changes returns the records starting at an offset, and the offset after
-	// them. If there are none yet, it waits at most the duration wait.
-	// It returns ErrOffsetOutOfRange if the stream no longer has some of them.
-	Changes(ctx context.Context, s Stream, from int64, wait time.Duration) ([]KeyedRecord, int64, error)
-	// Put adds a record. If it returns an error, the record may still have been
-	// added.
-	Put(ctx context.Context, s Stream, record KeyedRecord) error
+	// Newest returns the newest record of each key. Some of the records may have
+	// offsets after the page's Next.
+	Newest(ctx context.Context, s Stream) (Page, error)
+	// Changes returns the records starting at an offset. If there are none yet, it
+	// waits at most the duration wait. It returns ErrOffsetOutOfRange if the stream
+	// does not have the offset.
+	Changes(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
+	// Put adds a record and returns the epoch in which it was added. If it returns an
+	// error, the record may still have been added.
+	Put(ctx context.Context, s Stream, record KeyedRecord) (Epoch, error)
 }
--- a/member/member.go
+++ b/member/member.go
@@ -238,6 +238,22 @@
 	return live
 }
 
+// elderRounds is how many more rounds than this node another one must have run to count
+// as an elder.
+const elderRounds = 6
+
+// Elders returns the live and suspect peers that were running before this node started.
+// They may know what the platform has lost since. Nodes that start together have none.
+func (g *Group) Elders() []Node {
+	var elders []Node
+	for _, p := range g.Peers() {
+		if (p.state == Live || p.state == Suspect) && p.node.Heartbeat > g.self.Heartbeat+elderRounds {
+			elders = append(elders, p.node)
+		}
+	}
+	return elders
+}
+
 func (g *Group) emit(e Effect) { g.effects = append(g.effects, e) }
 
 // setHosts applies the platform's host list.
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -187,15 +187,22 @@
 func (p peerService) State(context.Context, *peerpb.StateRequest) (*peerpb.StateReply, error) {
 	s := p.server
 	s.mu.Lock()
-	document, upstreams := s.config, s.directory.All()
+	document := s.config
+	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed()}
 	s.mu.Unlock()
-	hosts, err := json.Marshal(upstreams)
+	hosts, err := json.Marshal(state)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(fmt.Errorf("encode upstreams: %w", err))
 	}
 	return &peerpb.StateReply{Rules: document, Hosts: hosts}, nil
 }
 
+// A peerState is what a node knows of the upstreams.
+type peerState struct {
+	Upstreams []fleet.Upstream
+	Removed   []fleet.Removal
+}
+
 // Forward belongs to the project's own protocol; an entry host of a deployment does
 // not implement it.
 func (p peerService) Forward(context.Context, *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
@@ -298,22 +305,32 @@
 	if len(m.GetRules()) > 0 {
 		s.applyConfig(m.GetRules(), "peer "+addr)
 	}
-	var upstreams []fleet.Upstream
-	if err := json.Unmarshal(m.GetHosts(), &upstreams); err != nil {
+	var state peerState
+	if err := json.Unmarshal(m.GetHosts(), &state); err != nil {
 		s.metrics.countPeerFailure("state")
 		return
 	}
-	s.mergeUpstreams(upstreams)
+	s.mergeState(state)
 }
 
-// mergeUpstreams adds upstreams that another node knows, unless they can be read from
-// the store.
-func (s *Server) mergeUpstreams(upstreams []fleet.Upstream) {
+// mergeState removes upstreams that another node knows to be gone, and adds those that it
+// knows unless they can be read from the store.
+func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
-	if s.upstreamsKnown && !s.storeOutage() {
-		s.mu.Unlock()
-		return
+	s.joined = true
+	changed := s.directory.MergeRemoved(state.Removed)
+	if !s.upstreamsKnown || s.storeOutage() {
+		changed = s.putUpstreams(state.Upstreams) || changed
+	}
+	s.mu.Unlock()
+	if changed {
+		s.updateReducers()
 	}
+}
+
+// putUpstreams adds upstreams that another node knows and reports whether that changes
+// the directory. The lock must be held.
+func (s *Server) putUpstreams(upstreams []fleet.Upstream) bool {
 	changed := false
 	for _, u := range upstreams {
 		mark := leavingMark(u)
@@ -321,10 +338,7 @@
 		changed = s.directory.Put(u) || changed
 	}
 	s.upstreamsKnown = s.upstreamsKnown || len(upstreams) > 0
-	s.mu.Unlock()
-	if changed {
-		s.updateReducers()
-	}
+	return changed
 }
 
 // listedEvent returns the event that gives the group the nodes listed in the store.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,17 @@
 	// upstreamsKnown is true once upstreams were read from the store or a peer.
 	upstreamsKnown bool
 	streams        map[infra.Stream]*streamState
+	// epoch is the newest epoch of the store that was seen, if epochKnown is true.
+	epoch      infra.Epoch
+	epochKnown bool
+	// joined is true once the node has the state of a peer. lastJoin is when it last
+	// asked for it.
+	joined   bool
+	lastJoin time.Time
+	// nodesRead is true once the nodes were read from the store. nodesListed is the
+	// number of other nodes there.
+	nodesRead   bool
+	nodesListed int
 
 	// notifyMu serializes updates of upstreams and services in the reducers. It is
 	// locked before mu.
@@ -100,6 +111,9 @@
 	conns    *connPool
 	releases releaseQueue
 
+	// restored gets a value when the store was restored.
+	restored chan struct{}
+
 	lastNumber atomic.Uint64
 	draining   atomic.Bool
 	// context ends when the server closes, and requests when the requests in progress
@@ -128,6 +142,7 @@
 		node:     proxy.New(proxy.Config{Zone: o.Settings.Zone, Budget: o.Settings.Budget}),
 		peers:    newPeers(),
 		streams:  make(map[infra.Stream]*streamState),
+		restored: make(chan struct{}, 1),
 		context:  ctx,
 		close:    cancel,
 
@@ -284,6 +299,9 @@
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	reason := s.node.Unready()
+	if reason == "" && s.joining(s.now()) {
+		reason = "state of other nodes is not known yet"
+	}
 	s.mu.Unlock()
 	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
