Divide the stage workers of a large deployment by zone

Cause: one host owns the stages of the whole fleet.

Change: where a service has on average 4.5 workers or more in a zone, each zone has an owner, which schedules the workers of its zone. Jobs go to the owner of the zone that holds their inputs, releases to the owner of the result's zone. A job for whose service a zone has no worker goes to the next zone's owner; a zone without hosts is served by another's.

Not measured yet on the large site with this commit; pure tests only.

--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -50,7 +50,7 @@
 func TestOwnerLeaves(t *testing.T) {
 	d := deploy(t, 2)
 	d.await("both nodes choose the same owner", func() bool {
-		return d.nodes[0].server.stageOwner().ID == d.nodes[1].server.stageOwner().ID
+		return d.nodes[0].server.stageOwner("a").ID == d.nodes[1].server.stageOwner("a").ID
 	})
 	for _, w := range d.workers {
 		if w.Kind == stand.Stage {
@@ -80,10 +80,10 @@
 	d := deploy(t, 2)
 	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
 	d.await("both nodes choose the same owner", func() bool {
-		return d.nodes[0].server.stageOwner().ID == d.nodes[1].server.stageOwner().ID
+		return d.nodes[0].server.stageOwner("a").ID == d.nodes[1].server.stageOwner("a").ID
 	})
-	if d.nodes[1].server.stageOwner().ID != "node-0" {
-		t.Fatalf("owner is %q, want the node that started first", d.nodes[1].server.stageOwner().ID)
+	if d.nodes[1].server.stageOwner("a").ID != "node-0" {
+		t.Fatalf("owner is %q, want the node that started first", d.nodes[1].server.stageOwner("a").ID)
 	}
 	d.nodes[0].server.close()
 	d.nodes[0].stop()
@@ -100,7 +100,7 @@
 	d := deploy(t, 2)
 	wantStatus(t, d.ask(d.nodes[1], stand.PathStream), http.StatusOK)
 	d.await("both nodes choose the same owner", func() bool {
-		return d.nodes[0].server.stageOwner().ID == "node-0" && d.nodes[1].server.stageOwner().ID == "node-0"
+		return d.nodes[0].server.stageOwner("a").ID == "node-0" && d.nodes[1].server.stageOwner("a").ID == "node-0"
 	})
 	d.nodes[0].server.close()
 	d.nodes[0].server.conns.sweep(func(string, int64) bool { return false })
@@ -144,15 +144,15 @@
 	start := time.Now()
 	s.group.Step(start, member.DigestReceived{Digest: member.Digest{From: member.Node{ID: "a", Incarnation: "1", Addr: "a:1"}}})
 	s.group.Step(start.Add(config.SuspectAfter+time.Second), member.Tick{})
-	if got := s.stageOwner(); got.ID != "a" {
+	if got := s.stageOwner("a"); got.ID != "a" {
 		t.Errorf("owner is %s after late heartbeats of node a, want a", got.ID)
 	}
 	s.peers.markSuspect("a:1")
-	if got := s.stageOwner(); got.ID != "b" {
+	if got := s.stageOwner("a"); got.ID != "b" {
 		t.Errorf("owner is %s after a call to node a failed, want b", got.ID)
 	}
 	s.peers.markReachable("a:1")
-	if got := s.stageOwner(); got.ID != "a" {
+	if got := s.stageOwner("a"); got.ID != "a" {
 		t.Errorf("owner is %s after node a has answered, want a", got.ID)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,8 @@
 	// version being fetched from a peer, or 0.
 	config          []byte
 	fetchingVersion int64
+	// division assigns the stage workers to owners.
+	division batch.Division
 	// upstreamsKnown is true once upstreams were read from the store or a peer.
 	upstreamsKnown bool
 	streams        map[infra.Stream]*streamState
@@ -270,7 +272,7 @@
 	s.step(proxy.Stop{Until: s.now().Add(time.Until(answerBy))})
 	s.memberStep(member.Stop{})
 	go s.deregister()
-	if s.stageOwner().ID != s.self.ID {
+	if s.stageOwner(s.self.Zone).ID != s.self.ID {
 		s.owner.step(batch.Drain{})
 	}
 	overdue := time.AfterFunc(time.Until(answerBy), s.endRequests)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,26 +19,54 @@
 // cannot be reached.
 const maxOwnerAttempts = 3
 
-// runStage runs a job at the owner of the stages and returns its outcome. If the owner
-// cannot be reached, the job is retried at the next one.
+// runStage runs a job at the owner of its zone and returns its outcome. If the owner
+// cannot be reached, the job is retried at the next one, and if it has no worker, at the
+// owner of another zone.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) proxy.Event {
+	zone := job.Zone
+	var outcome proxy.Event = proxy.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonNoWorker}
 	for range maxOwnerAttempts {
-		node := s.stageOwner()
-		if node.ID == s.self.ID {
-			e := s.owner.run(ctx, job)
-			if refused, ok := e.(batch.Refused); ok && refused.Reason == batch.ReasonNotOwner {
-				continue // This node is leaving; retry at the next owner.
-			}
-			return stageEvent(number, job, e)
+		event, ok := s.runAt(ctx, s.stageOwner(zone), number, job)
+		if ok {
+			outcome = event
 		}
-		if e, ok := s.runRemote(ctx, node, number, job); ok {
-			return e
-		}
-		if ctx.Err() != nil {
-			break
+		next := s.zoneAfter(zone)
+		switch {
+		case ctx.Err() != nil:
+			return outcome
+		case ok && (next == zone || !lacksWorker(event)):
+			return event
+		case ok:
+			zone = next
 		}
 	}
-	return proxy.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonNoWorker}
+	return outcome
+}
+
+// lacksWorker reports whether a stage failed since its owner has no worker for it.
+func lacksWorker(e proxy.Event) bool {
+	failed, ok := e.(proxy.StageFailed)
+	return ok && failed.Reason == batch.ReasonNoWorker
+}
+
+// runAt runs a job at a node. It returns false if the node does not run it.
+func (s *Server) runAt(ctx context.Context, node member.Node, number uint64, job batch.Job) (event proxy.Event, ok bool) {
+	if node.ID != s.self.ID {
+		return s.runRemote(ctx, node, number, job)
+	}
+	e := s.owner.run(ctx, job)
+	if refused, ok := e.(batch.Refused); ok && refused.Reason == batch.ReasonNotOwner {
+		return nil, false // This node is leaving.
+	}
+	return stageEvent(number, job, e), true
+}
+
+// zoneAfter returns the zone whose owner may run a job that the owner of a zone has no
+// worker for.
+func (s *Server) zoneAfter(zone string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.division.Next(zone)
 }
 
 func stageEvent(number uint64, job batch.Job, e batch.Effect) proxy.Event {
@@ -51,11 +79,12 @@
 	return proxy.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonLate}
 }
 
-// stageOwner returns the owner of the stage services in this node's view. One node
-// owns all services, as admitting a request depends on all the stages that it needs. A
-// node whose heartbeats are late remains a candidate: nodes must agree on the owner,
-// and each of them sees different heartbeats late. Failed calls exclude a node.
-func (s *Server) stageOwner() member.Node {
+// stageOwner returns the owner of the stage workers of a zone in this node's view. One
+// node owns all services there, as admitting a request depends on all the stages that it
+// needs. A node whose heartbeats are late remains a candidate: nodes must agree on the
+// owner, and each of them sees different heartbeats late. Failed calls exclude a node. If
+// no node of the zone is left, a node of another zone is the owner.
+func (s *Server) stageOwner(zone string) member.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := slices.DeleteFunc(s.group.Live(), func(n member.Node) bool {
@@ -64,6 +93,12 @@
 	if len(candidates) == 0 {
 		return s.self
 	}
+	local := slices.DeleteFunc(slices.Clone(candidates), func(n member.Node) bool {
+		return !s.division.Same(n.Zone, zone)
+	})
+	if len(local) > 0 {
+		candidates = local
+	}
 	return slices.MinFunc(candidates, compareOwners)
 }
 
@@ -202,17 +237,36 @@
 	releaseTimeout = time.Second
 )
 
-// releaseLoop periodically sends the collected results to the owner.
+// releaseLoop periodically sends the collected results to their owners.
 func (s *Server) releaseLoop() {
 	for s.sleep(releaseInterval) {
 		if results := s.releases.takeAll(); len(results) > 0 {
-			go s.sendReleases(results)
+			s.sendReleases(results)
 		}
 	}
 }
 
+// sendReleases sends results to the owners of the zones where they are.
 func (s *Server) sendReleases(results []batch.Result) {
-	node := s.stageOwner()
+	byOwner := make(map[string][]batch.Result)
+	owners := make(map[string]member.Node)
+	for _, r := range results {
+		node, ok := owners[r.Zone]
+		if !ok {
+			node = s.stageOwner(r.Zone)
+			owners[r.Zone] = node
+		}
+		byOwner[node.ID] = append(byOwner[node.ID], r)
+	}
+	for _, node := range owners {
+		if released := byOwner[node.ID]; len(released) > 0 {
+			delete(byOwner, node.ID)
+			go s.sendRelease(node, released)
+		}
+	}
+}
+
+func (s *Server) sendRelease(node member.Node, results []batch.Result) {
 	if node.ID == s.self.ID {
 		s.owner.step(batch.Release{Results: results})
 		return
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -394,8 +394,14 @@
 		services = t.Services()
 	}
 	s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
+	before := s.division
+	s.division = batch.Divide(services, upstreams)
+	owners, workers := s.division.Owners(), s.division.Workers(s.self.Zone, upstreams)
 	s.mu.Unlock()
-	s.owner.step(batch.SetWorkers{Services: services, Upstreams: upstreams})
+	if owners != before.Owners() {
+		s.logger.Info("stages are divided", "owners", owners, "before", before.Owners(), "upstreams", len(upstreams))
+	}
+	s.owner.step(batch.SetWorkers{Services: services, Upstreams: workers})
 }
 
 // memberLoop ticks the group, expires upstreams, and fetches state from peers during a
