--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -418,3 +418,40 @@
 		t.Errorf("effect %#v after the pause, want the release", after[0])
 	}
 }
+
+// A worker process that replaces another under the same id and address starts without the
+// failures, the pause, the slowness and the results of the earlier one.
+func TestReplacedWorker(t *testing.T) {
+	service := fleet.Service{Name: "s", Batch: &fleet.Batch{
+		MaxRunning: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, ResultMemory: 1 << 20, ResultTTL: time.Second,
+	}}
+	set := func(born int64) SetWorkers {
+		return SetWorkers{Services: []fleet.Service{service}, Upstreams: []fleet.Upstream{{ID: "w", Born: born, Service: "s", Addr: "w:1", Zone: "a"}}}
+	}
+	var s Scheduler
+	s.Step(start, set(1))
+	old := s.worker("w")
+	old.slowness = 9
+	old.addResult(start, "h", 1<<19)
+	old.health.Fail(start, backoff)
+	s.Step(start, Held{Worker: "w", Born: 1, Until: start.Add(time.Minute)})
+	s.Step(start, set(1))
+	if s.worker("w") != old {
+		t.Error("the same process lost its state")
+	}
+	s.Step(start, set(2))
+	w := s.worker("w")
+	if !w.usable(start) || w.slowness != 1 || w.usedBytes != 0 {
+		t.Errorf("new process is usable: %v, slowness %v, %d bytes used; want a fresh state", w.usable(start), w.slowness, w.usedBytes)
+	}
+}
+
+// An owner that has closed its connections must give up the jobs whose pieces are at
+// workers, so that the next owner runs them.
+func TestClose(t *testing.T) {
+	h := newHarness(t, "a1")
+	ref := h.submit("r", "a", 2, time.Second)
+	h.step(Close{})
+	h.wantRefused(ref, ReasonNotOwner)
+	h.wantRefused(h.submit("later", "a", 2, time.Second), ReasonNotOwner)
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -197,6 +197,21 @@
 	n.releaseAll(r)
 }
 
+// streamStalled ends an attempt whose stream has stalled if the stream may be resumed at
+// another upstream. Otherwise the upstream may only be slow, and aborting the stream would
+// lose what can still come.
+func (n *Node) streamStalled(now time.Time, e StreamStalled) {
+	r := n.requests[e.Number]
+	if !r.isCurrent(e.Attempt) || r.interrupted {
+		return
+	}
+	r.interrupted = n.allowRetry(now, r)
+	n.recordSince(now, r.sentAt, r, trace.StreamStalled, "", "attempt", e.Attempt, "upstream", r.upstream.ID, "resumes", r.interrupted)
+	if r.interrupted {
+		n.emit(Interrupt{Number: r.Number, Attempt: e.Attempt})
+	}
+}
+
 func (n *Node) finished(now time.Time, e Finished) {
 	r := n.requests[e.Number]
 	if !r.isCurrent(e.Attempt) {
@@ -219,7 +234,7 @@
 	if !r.isCurrent(e.Attempt) {
 		return
 	}
-	u := r.upstream
+	u, interrupted := r.upstream, r.interrupted
 	n.endAttempt(r)
 	r.responseStarted = r.responseStarted || e.ResponseStarted
 	if e.LastEventID != "" {
@@ -246,7 +261,7 @@
 		r.executions++
 	}
 	u.recordFailure()
-	if n.allowRetry(now, r) {
+	if interrupted || n.allowRetry(now, r) {
 		n.retry(now, r, string(e.Failure))
 		return
 	}
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -63,6 +63,11 @@
 		Number  uint64
 		Attempt int
 	}
+	// StreamStalled reports that a stream has sent no event for longer than usual.
+	StreamStalled struct {
+		Number  uint64
+		Attempt int
+	}
 	// Finished reports that the client has the complete response.
 	Finished struct {
 		Number  uint64
@@ -112,6 +117,7 @@
 func (StageFailed) ProxyEvent()         {}
 func (HeadReceived) ProxyEvent()        {}
 func (FirstEvent) ProxyEvent()          {}
+func (StreamStalled) ProxyEvent()       {}
 func (Finished) ProxyEvent()            {}
 func (AttemptFailed) ProxyEvent()       {}
 func (ClientDisconnected) ProxyEvent()  {}
@@ -197,6 +203,12 @@
 		Number  uint64
 		Attempt int
 	}
+	// Interrupt requests that the current attempt be ended, so that a stalled stream
+	// can be resumed at another upstream. Without it, the node keeps waiting.
+	Interrupt struct {
+		Number  uint64
+		Attempt int
+	}
 	// Reply requests a final response that the node generates itself.
 	Reply struct {
 		Number     uint64
@@ -229,6 +241,7 @@
 func (RunStage) ProxyEffect()       {}
 func (Send) ProxyEffect()           {}
 func (Deliver) ProxyEffect()        {}
+func (Interrupt) ProxyEffect()      {}
 func (Reply) ProxyEffect()          {}
 func (Abort) ProxyEffect()          {}
 func (Release) ProxyEffect()        {}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -88,6 +88,8 @@
 		n.headReceived(now, e)
 	case FirstEvent:
 		n.firstEvent(now, e)
+	case StreamStalled:
+		n.streamStalled(now, e)
 	case Finished:
 		n.finished(now, e)
 	case AttemptFailed:
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -78,7 +78,10 @@
 	outcomeUnknown bool
 	// responseStarted is true once the client has part of a response.
 	responseStarted bool
-	lastEventID     string
+	// interrupted is true if the current attempt stalled and its retry has been charged
+	// to the budget.
+	interrupted bool
+	lastEventID string
 }
 
 // A stageState is the progress of one stage.
@@ -263,7 +266,7 @@
 	r.upstream.inFlight--
 	r.upstream.pendingTokens -= r.pendingTokens
 	r.pendingTokens = 0
-	r.upstream = nil
+	r.upstream, r.interrupted = nil, false
 }
 
 func (n *Node) clientDisconnected(now time.Time, number uint64) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"teaselplank/fleet"
 	"teaselplank/proxy"
@@ -192,11 +191,14 @@
 	events := newEventReader(a.response.Body, x.lastEventID)
 	flush := http.NewResponseController(x.writer)
 	started := false
+	var watch *idleWatch
+	if a.send.Route.Resumable {
+		watch = x.watchIdle(a)
+		defer watch.stop()
+	}
 	for {
-		if a.send.Route.Resumable {
-			a.conn.setReadTimeout(x.context, streamIdleTimeout)
-		}
 		data, id, err := events.next()
+		watch.reset()
 		if err == io.EOF {
 			a.finish(true)
 			x.writeStreamHead(a)
@@ -231,10 +233,6 @@
 	return flush.Flush() == nil
 }
 
-// streamIdleTimeout is how long a resumable stream may send no event before it is
-// resumed at another upstream.
-const streamIdleTimeout = 1200 * time.Millisecond
-
 // writeStreamHead writes the head of a stream's answer, once.
 func (x *exchange) writeStreamHead(a *answer) {
 	if x.headSent {
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"teaselplank/batch"
+	"teaselplank/fleet"
 	"teaselplank/infra"
 	"teaselplank/member"
 	"teaselplank/platform"
@@ -156,3 +158,30 @@
 		t.Errorf("owner is %s after node a has answered, want a", got.ID)
 	}
 }
+
+// In a divided deployment the owner of a zone is a node of that zone, unless none is left.
+func TestOwnerOfZone(t *testing.T) {
+	self := member.Node{ID: "b", Incarnation: "2", Addr: "b:1", Zone: "b"}
+	config := member.DefaultConfig()
+	config.Self = self
+	service := fleet.Service{Name: "s", Batch: &fleet.Batch{}}
+	var upstreams []fleet.Upstream
+	for i := range 12 {
+		upstreams = append(upstreams, fleet.Upstream{ID: fmt.Sprint(i), Service: "s", Zone: []string{"a", "b"}[i%2]})
+	}
+	s := &Server{self: self, group: member.New(config, 1), peers: newPeers(), division: batch.Divide([]fleet.Service{service}, upstreams)}
+	s.group.Step(time.Now(), member.DigestReceived{Digest: member.Digest{From: member.Node{ID: "a", Incarnation: "1", Addr: "a:1", Zone: "a"}}})
+	wantOwner := func(zone, want string) {
+		t.Helper()
+		if got := s.stageOwner(zone); got.ID != want {
+			t.Errorf("owner of zone %q is %q, want %q", zone, got.ID, want)
+		}
+	}
+	wantOwner("a", "a")
+	wantOwner("b", "b")
+	s.peers.markSuspect("a:1")
+	wantOwner("a", "b")
+	s.division = batch.Division{}
+	s.peers.markReachable("a:1")
+	wantOwner("b", "a")
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -84,6 +84,8 @@
 		{stand.FaultDropConnection, 502, 502, 1, 1, 2, 2},
 		{stand.FaultServerError, 500, 500, 1, 1, 2, 2},
 		{stand.FaultWrongID, 502, 502, 1, 1, 2, 2},
+		{stand.FaultNoSeal, 502, 502, 1, 1, 2, 2},
+		{stand.FaultTruncateBody, 502, 502, 1, 1, 2, 2},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
 			d := deploy(t, 1)
@@ -96,6 +98,24 @@
 			d.wantRuns(safe.id, stand.ServiceDesk, c.safeMin, c.safeMax)
 		})
 	}
+	t.Run("late copy of an answer on a connection in use", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.setFaults(stand.ServiceDesk, stand.FaultLateCopy)
+		crossed := 0
+		for range 8 {
+			r := d.ask(d.nodes[0], stand.PathUnsafe)
+			if want := "answer to " + r.id; r.status == http.StatusOK && r.body != want {
+				t.Errorf("body is %q, want %q", r.body, want)
+			}
+			if r.status == http.StatusBadGateway {
+				crossed++
+			}
+			d.wantRuns(r.id, stand.ServiceDesk, 1, 1)
+		}
+		if crossed == 0 {
+			t.Error("no request met a late copy; the test shows nothing")
+		}
+	})
 	t.Run("one worker loses answers", func(t *testing.T) {
 		d := deploy(t, 1)
 		d.workers["desk-a"].SetFault(stand.FaultDropConnection)
@@ -132,6 +152,42 @@
 	})
 }
 
+// An upstream that is only silent, so that its entry expires, must finish the work that it
+// has. The work must not be started elsewhere.
+func TestSilentUpstream(t *testing.T) {
+	d := deploy(t, 1)
+	for _, w := range d.workers {
+		switch w.Kind {
+		case stand.Stage:
+			w.Delay = 300 * time.Millisecond
+		case stand.Engine:
+			w.Delay = 60 * time.Millisecond
+		}
+	}
+	answered := make(chan result, 1)
+	go func() { answered <- d.askAs(d.nodes[0], "silent", stand.PathStream) }()
+	for _, service := range []string{stand.ServiceEncode, stand.ServiceRank, stand.ServiceEngine} {
+		running := ""
+		d.await("the request is at a worker", func() bool {
+			for id, w := range d.workers {
+				if w.Service == service && w.Arrivals() > 0 {
+					running = id
+				}
+			}
+			return running != ""
+		})
+		d.remove(running)
+	}
+	r := <-answered
+	wantStatus(t, r, http.StatusOK)
+	if r.body != allEvents {
+		t.Errorf("events are %q (%v), want all", r.body, r.err)
+	}
+	d.wantRuns(r.id, stand.ServiceEncode, 2, 2)
+	d.wantRuns(r.id, stand.ServiceRank, 3, 3)
+	d.wantRuns(r.id, stand.ServiceEngine, 1, 1)
+}
+
 // Bytes that arrive on an idle connection belong to no request; such a connection must
 // not be reused.
 func TestUnusedConnection(t *testing.T) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -56,8 +56,12 @@
 		}
 	}
 	for _, u := range d.upstreams {
-		elapsed := u.worker.LastRun().Sub(u.drainingSince)
-		if !u.drainingSince.IsZero() && elapsed > maxDrainDelay && !d.faultDuring(nil, u.drainingSince, u.worker.LastRun(), StoreLink, StoreDown, PeerLink, Pause) {
+		since := u.drainingSince
+		if since.IsZero() {
+			since = u.worker.LeavingSaidAt()
+		}
+		elapsed := u.worker.LastRun().Sub(since)
+		if !since.IsZero() && elapsed > maxDrainDelay && !d.faultDuring(nil, since, u.worker.LastRun(), StoreLink, StoreDown, PeerLink, Pause) {
 			violations = append(violations, fmt.Sprintf("upstream %s was assigned work %s after it announced that it drains", u.worker.ID, elapsed))
 		}
 	}
@@ -156,7 +160,7 @@
 			continue
 		}
 		superseded := i+1 < len(d.publishTimes) && d.publishTimes[i+1].Before(r.endedAt)
-		if superseded || r.sentAt.Before(at.Add(maxConfigDelay)) || d.faultDuring(r.host, at, r.sentAt, StoreLink, StoreDown, PeerLink, Pause, Kill, Terminate) {
+		if superseded || r.sentAt.Before(at.Add(maxConfigDelay)) || d.faultDuring(r.host, at, r.sentAt, StoreLink, StoreDown, StoreRestore, PeerLink, Pause, Kill, Terminate) {
 			return ""
 		}
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,10 +30,18 @@
 	// records but the newest.
 	StoreDown    Action = "store down"
 	StoreCompact Action = "store forgets"
+	// StoreRestore replaces the store's records by a copy from before the step's
+	// duration. The operator then writes the newest configuration again.
+	StoreRestore Action = "store restored"
 	// UpstreamFault makes an upstream inject a fault. UpstreamReplace drains it and
 	// starts another one in its place.
 	UpstreamFault   Action = "upstream fault"
 	UpstreamReplace Action = "upstream leaves"
+	// UpstreamHold makes an upstream refuse all requests and ask for a pause.
+	// UpstreamLeaving replaces it like UpstreamReplace, but only its responses say that
+	// it is leaving.
+	UpstreamHold    Action = "upstream pauses"
+	UpstreamLeaving Action = "upstream says that it leaves"
 	// Publish writes a new version of the configuration.
 	Publish Action = "publish"
 )
@@ -59,6 +67,9 @@
 	StoreDown, StoreCompact, UpstreamFault, UpstreamFault, UpstreamReplace, Publish, Publish,
 }
 
+// drillActions are the additional actions of plans with drills.
+var drillActions = []Action{StoreRestore, StoreRestore, UpstreamHold, UpstreamLeaving}
+
 var linkFaults = []Mode{Delay, Reset, HoldRequests, HoldResponses, HoldBoth}
 
 const (
@@ -70,12 +81,17 @@
 )
 
 // NewPlan generates the steps of a run in short series, which may overlap. The result
-// depends on the arguments only.
-func NewPlan(seed uint64, length time.Duration) []Step {
+// depends on the arguments only. Plans with drills have further actions; the seeds that
+// once failed without them keep their plans.
+func NewPlan(seed uint64, length time.Duration, drills bool) []Step {
 	random := rand.New(rand.NewPCG(seed, 0))
+	actions := weightedActions
+	if drills {
+		actions = slices.Concat(weightedActions, drillActions)
+	}
 	var plan []Step
 	for at := meanSeriesInterval; at < length; at += time.Duration(random.ExpFloat64() * float64(meanSeriesInterval)) {
-		action := weightedActions[random.IntN(len(weightedActions))]
+		action := actions[random.IntN(len(actions))]
 		for i := range 1 + random.IntN(maxSeriesSteps) {
 			plan = append(plan, Step{
 				At: at + time.Duration(i)*time.Duration(random.IntN(300))*time.Millisecond, Action: action,
@@ -83,7 +99,7 @@
 				Mode: linkFaults[random.IntN(len(linkFaults))], FaultIndex: random.IntN(1 << 16),
 			})
 			if random.IntN(2) == 0 {
-				action = weightedActions[random.IntN(len(weightedActions))]
+				action = actions[random.IntN(len(actions))]
 			}
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,9 @@
 	Directory string
 	// Seed determines the faults and the load.
 	Seed uint64
+	// Drills adds restorations of the store, upstreams that ask for a pause or leave
+	// without notice in the store, and further faults of upstreams.
+	Drills bool
 	// Length is the time during which faults start; the run takes about 10 s longer.
 	Length time.Duration
 	Hosts  int
@@ -68,7 +72,9 @@
 type upstream struct {
 	worker *stand.Worker
 	proxy  *Proxy
-	// drainingSince is when the drain of the worker started, or the zero time.
+	// leaving is true once another upstream replaces this one. drainingSince is when it
+	// announced that in the store, or the zero time.
+	leaving       bool
 	drainingSince time.Time
 }
 
@@ -93,7 +99,7 @@
 	for i := range o.Clients {
 		clients.Go(func() { d.clients.runClient(ctx, o.Seed<<8+uint64(i)) })
 	}
-	plan := NewPlan(o.Seed, o.Length)
+	plan := NewPlan(o.Seed, o.Length, o.Drills)
 	d.runPlan(plan)
 	d.mu.Lock()
 	runErr := d.runErr
@@ -228,7 +234,13 @@
 	defer d.clients.mu.Unlock()
 	d.clients.configVersion++
 	d.publishTimes = append(d.publishTimes, time.Now())
-	stand.PutConfig(d.store, int64(d.clients.configVersion), versionPath(d.clients.configVersion))
+	d.putConfig()
+}
+
+// putConfig writes the newest configuration. The lock must be held.
+func (d *deployment) putConfig() {
+	version := len(d.publishTimes)
+	stand.PutConfig(d.store, int64(version), versionPath(version))
 }
 
 // runPlan performs the steps of a plan and returns when the last one has ended.
@@ -269,12 +281,21 @@
 		d.store.SetUnavailable(false)
 	case StoreCompact:
 		d.store.CompactConfigs()
+	case StoreRestore:
+		d.restoreStore(s.Duration)
 	case UpstreamFault:
-		u.worker.SetFault(injectedFaults[s.FaultIndex%len(injectedFaults)])
+		faults := d.options.faults()
+		u.worker.SetFault(faults[s.FaultIndex%len(faults)])
 		time.Sleep(s.Duration)
 		u.worker.SetFault(stand.FaultNone)
 	case UpstreamReplace:
-		d.setRunErr(d.replaceUpstream(u))
+		d.setRunErr(d.replaceUpstream(u, d.drainUpstream))
+	case UpstreamLeaving:
+		d.setRunErr(d.replaceUpstream(u, func(u *upstream) { u.worker.SetLeaving() }))
+	case UpstreamHold:
+		u.worker.Hold(s.Duration)
+		time.Sleep(s.Duration)
+		u.worker.Hold(0)
 	case Publish:
 		d.publish()
 	}
@@ -282,21 +303,47 @@
 
 var injectedFaults = []stand.Fault{stand.FaultRefuse, stand.FaultDropConnection, stand.FaultServerError, stand.FaultWrongID, stand.FaultTruncateStream, stand.FaultExtraResponse}
 
+// drillFaults are the additional faults of upstreams in runs with drills.
+var drillFaults = []stand.Fault{stand.FaultNoSeal, stand.FaultTruncateBody, stand.FaultLateCopy, stand.FaultStallStream}
+
+func (o Options) faults() []stand.Fault {
+	if o.Drills {
+		return slices.Concat(injectedFaults, drillFaults)
+	}
+	return injectedFaults
+}
+
+// restoreOutage is how long the store is unavailable while it is restored.
+const restoreOutage = 100 * time.Millisecond
+
+// restoreStore restores the store from a copy of the given age. The operator then writes
+// the newest configuration again.
+func (d *deployment) restoreStore(age time.Duration) {
+	restore := d.store.Save()
+	time.Sleep(age)
+	d.store.SetUnavailable(true)
+	time.Sleep(restoreOutage)
+	restore()
+	d.store.SetUnavailable(false)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.putConfig()
+}
+
 func injectLinkFault(p *Proxy, s Step) {
 	p.Set(s.Mode)
 	time.Sleep(s.Duration)
 	p.Set(Pass)
 }
 
-// replaceUpstream starts another upstream of the same kind and drains the given one.
-func (d *deployment) replaceUpstream(u *upstream) error {
+// replaceUpstream starts another upstream of the same kind and lets the given one announce
+// that it is leaving.
+func (d *deployment) replaceUpstream(u *upstream, announce func(*upstream)) error {
 	d.mu.Lock()
-	draining, index := !u.drainingSince.IsZero(), len(d.upstreams)
-	if !draining {
-		u.drainingSince = time.Now()
-	}
+	leaving, index := u.leaving, len(d.upstreams)
+	u.leaving = true
 	d.mu.Unlock()
-	if draining {
+	if leaving {
 		return nil
 	}
 	for _, k := range upstreamKinds {
@@ -306,10 +353,17 @@
 			}
 		}
 	}
-	u.worker.Drain()
+	announce(u)
 	return nil
 }
 
+func (d *deployment) drainUpstream(u *upstream) {
+	d.mu.Lock()
+	u.drainingSince = time.Now()
+	d.mu.Unlock()
+	u.worker.Drain()
+}
+
 // recordFault records a fault that started at the given time and ends now.
 func (d *deployment) recordFault(action Action, h *host, from time.Time) {
 	d.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,10 +18,11 @@
 var regressions = []struct {
 	seed   uint64
 	length time.Duration
+	drills bool
 	cause  string
 }{
-	{10, 14 * time.Second, "SIGHUP right after the start killed the process; two concurrent updates left the owner without workers"},
-	{12, 14 * time.Second, "SIGHUP right after the start killed the process"},
+	{10, 14 * time.Second, false, "SIGHUP right after the start killed the process; two concurrent updates left the owner without workers"},
+	{12, 14 * time.Second, false, "SIGHUP right after the start killed the process"},
 }
 
 // Environment variables for the number of seeds, the first seed and the length of each
@@ -38,24 +39,24 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for _, r := range regressions {
-		t.Run(fmt.Sprintf("%d: %s", r.seed, r.cause), func(t *testing.T) { runSeed(t, binary, r.seed, r.length) })
+		t.Run(fmt.Sprintf("%d: %s", r.seed, r.cause), func(t *testing.T) { runSeed(t, binary, r.seed, r.length, r.drills) })
 	}
 	length := time.Duration(envInt(t, lengthVariable, 6)) * time.Second
 	for i := range envInt(t, seedsVariable, 1) {
 		seed := uint64(envInt(t, firstVariable, 1) + i)
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, length)
+			runSeed(t, binary, seed, length, true)
 		})
 	}
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
+func runSeed(t *testing.T, binary string, seed uint64, length time.Duration, drills bool) {
 	directory, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	report, err := Run(Options{Binary: binary, Directory: directory, Seed: seed, Length: length, Hosts: 3, Clients: 8})
+	report, err := Run(Options{Binary: binary, Directory: directory, Seed: seed, Length: length, Drills: drills, Hosts: 3, Clients: 8})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,11 +84,11 @@
 }
 
 func TestPlan(t *testing.T) {
-	a, b := NewPlan(7, 20*time.Second), NewPlan(7, 20*time.Second)
+	a, b := NewPlan(7, 20*time.Second, true), NewPlan(7, 20*time.Second, true)
 	if len(a) < 10 || !reflect.DeepEqual(a, b) {
 		t.Errorf("plans of one seed have %d and %d steps, want the same 10 or more", len(a), len(b))
 	}
-	if reflect.DeepEqual(a, NewPlan(8, 20*time.Second)) {
+	if reflect.DeepEqual(a, NewPlan(8, 20*time.Second, true)) {
 		t.Error("plans of two seeds are the same")
 	}
 	for _, s := range a {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -17,6 +17,8 @@
 	Sent          Decision = "send"
 	AttemptFailed Decision = "attempt failed"
 	Retried       Decision = "repeat"
+	// StreamStalled means that a resumable stream sent no event for longer than usual.
+	StreamStalled Decision = "stream stalled"
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
@@ -41,7 +43,7 @@
 // All returns all decisions.
 func All() []Decision {
 	return []Decision{
-		Admitted, Sent, AttemptFailed, Retried, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
+		Admitted, Sent, AttemptFailed, Retried, StreamStalled, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
 		StageAdmitted, StageRefused, OwnerFailed,
 	}
 }
