Let two hosts of a zone read the upstreams, and spread changes among hosts

Cause: each host reads every heartbeat of every upstream from the store.

Change: from 13 hosts on, two hosts of each zone read the upstreams; those with the largest CPU shares, of the hosts that are not late. The directory records its changes except heartbeats, and each host tells five others of what is new to it (rpc Update). Digests carry a hash of the known processes; a host that differs for 0.7 s while nothing changes fetches the upstreams of another. A host tells others of a new configuration after 0.5 s, since a host that does not read the upstreams no longer notices that its read of the configuration hangs. Hosts read the list of hosts once a minute instead of every 20 s.

Ruled out: State for every change (60 kB a host and second); leaving marks for removals, as an upstream whose lease lapsed comes back with the same start time.

Not measured yet.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -193,3 +193,59 @@
 		t.Errorf("upstream %q is known: %v, want %v", id, got, want)
 	}
 }
+
+// A directory follows another by its changes alone.
+func TestChanges(t *testing.T) {
+	u := Upstream{ID: "u", Born: 5, Seq: 3, Addr: "10.0.0.1:1"}
+	var source, copied Directory
+	follow := func(want bool) {
+		t.Helper()
+		if got := copied.Merge(source.TakeChanges()); got != want {
+			t.Errorf("merging changes the copy: %v, want %v", got, want)
+		}
+		if copied.Fingerprint() != source.Fingerprint() {
+			t.Error("fingerprints differ after the changes")
+		}
+	}
+	empty := source.Fingerprint()
+	source.Put(u)
+	if source.Fingerprint() == empty {
+		t.Error("fingerprint does not change with a new upstream")
+	}
+	follow(true)
+	wantKnown(t, &copied, "u", true)
+	u.Seq++
+	source.Put(u)
+	follow(false)
+	source.Remove(start, "u")
+	follow(true)
+	wantKnown(t, &copied, "u", false)
+	u.Born, u.Seq = 6, 0
+	source.Put(u)
+	follow(true)
+	source.StoreRecovered(start)
+	source.Remove(start, "u")
+	follow(false)
+	source.Expire(start.Add(outageGrace))
+	follow(true)
+	wantKnown(t, &copied, "u", false)
+}
+
+func TestRepair(t *testing.T) {
+	var r Repair
+	want := func(after time.Duration, own, other uint64, want bool) {
+		t.Helper()
+		if got := r.Needed(start.Add(after), own, other); got != want {
+			t.Errorf("repair after %s with %d and %d: %v, want %v", after, own, other, got, want)
+		}
+	}
+	want(0, 1, 1, false)
+	want(0, 1, 2, false)
+	want(settleTime/2, 1, 2, false)
+	want(settleTime/2, 1, 1, false) // The others have the same again.
+	want(settleTime, 1, 3, false)
+	want(settleTime*3/2, 2, 3, false) // The node itself has learned something.
+	want(settleTime*5/2, 2, 3, true)
+	want(settleTime*7/2, 2, 3, false)
+	want(settleTime*5/2+repairInterval, 2, 3, true)
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -180,7 +181,9 @@
 	s.memberStep(member.DigestReceived{Digest: member.DigestFromMessage(m)})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Digest().Message(), nil
+	digest := s.group.Digest()
+	digest.Upstreams = s.upstreamsHash()
+	return digest.Message(), nil
 }
 
 // State returns the configuration's document and the upstreams.
@@ -223,9 +226,12 @@
 		}
 	}
 	live := len(s.group.Live())
-	var newer string
+	for i := range sends {
+		sends[i].Digest.Upstreams = s.upstreamsHash()
+	}
+	var source string
 	if received, ok := event.(member.DigestReceived); ok {
-		newer = s.newerConfigAddr(received.Digest)
+		source = cmp.Or(s.newerConfigAddr(received.Digest), s.repairAddr(received.Digest))
 	}
 	s.mu.Unlock()
 	s.step(proxy.NodeCount{Count: live})
@@ -235,8 +241,8 @@
 	for _, g := range sends {
 		go s.sendDigest(g)
 	}
-	if newer != "" {
-		go s.fetchState(newer)
+	if source != "" {
+		go s.fetchState(source)
 	}
 }
 
@@ -318,13 +324,16 @@
 func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
 	s.joined = true
+	before := s.directory.Fingerprint()
 	changed := s.directory.MergeRemoved(state.Removed)
-	if !s.upstreamsKnown || s.storeOutage() {
+	if !s.upstreamsKnown || !s.reader || s.storeOutage() {
 		changed = s.putUpstreams(state.Upstreams) || changed
 	}
+	after := s.directory.Fingerprint()
 	s.mu.Unlock()
 	if changed {
-		s.updateReducers()
+		s.logger.Info("upstreams merged with those of another node", "upstreams", len(state.Upstreams), "removed", len(state.Removed), "differed", before != after)
+		s.directoryChanged()
 	}
 }
 
@@ -333,9 +342,7 @@
 func (s *Server) putUpstreams(upstreams []fleet.Upstream) bool {
 	changed := false
 	for _, u := range upstreams {
-		mark := leavingMark(u)
-		u.Draining = u.Draining || s.group.IsLeaving(mark.Host, mark.Incarnation)
-		changed = s.directory.Put(u) || changed
+		changed = s.directory.Put(s.withMark(u)) || changed
 	}
 	s.upstreamsKnown = s.upstreamsKnown || len(upstreams) > 0
 	return changed
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,6 +99,10 @@
 	// asked for it.
 	joined   bool
 	lastJoin time.Time
+	// reader is true while the node reads the upstreams from the store. repair decides
+	// when it fetches them from another node otherwise.
+	reader bool
+	repair fleet.Repair
 	// nodesRead is true once the nodes were read from the store. nodesListed is the
 	// number of other nodes there.
 	nodesRead   bool
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -41,7 +41,7 @@
 	// reads of the nodes from the store.
 	memberTickInterval = 100 * time.Millisecond
 	sweepInterval      = time.Second
-	maxNodesPause      = 20 * time.Second
+	maxNodesPause      = time.Minute
 	// minNodesPause is the first pause between reads of the nodes. It is short
 	// because nodes that start together read too early to find each other, and grows
 	// with each read.
@@ -50,14 +50,41 @@
 
 // startLoops starts the loops that keep the node's view up to date.
 func (s *Server) startLoops() {
-	go s.follow(infra.StreamConfig, configWait, func() time.Duration { return 0 }, s.applyConfigRecords)
-	go s.follow(infra.StreamUpstreams, upstreamWait, s.upstreamPause, s.applyUpstreamRecords)
+	go s.followConfig()
+	go s.followUpstreams()
 	go s.followNodes()
 	go s.memberLoop()
 	go s.releaseLoop()
 	go s.sweepLoop()
 }
 
+// A feed describes how a stream is read.
+type feed struct {
+	stream infra.Stream
+	// wait is how long a read waits for changes, and pause the time between two reads.
+	wait  time.Duration
+	pause func() time.Duration
+	// await waits until the node is to read. It reports whether reads were left out.
+	await func() bool
+	// apply applies records: all newest ones, or changes in order.
+	apply func(records []infra.KeyedRecord, all bool)
+}
+
+func (s *Server) followConfig() {
+	s.follow(feed{
+		stream: infra.StreamConfig, wait: configWait, pause: func() time.Duration { return 0 },
+		await: func() bool { return false }, apply: s.applyConfigRecords,
+	})
+}
+
+// followUpstreams reads the upstreams while this node is one of those that do.
+func (s *Server) followUpstreams() {
+	s.follow(feed{
+		stream: infra.StreamUpstreams, wait: upstreamWait, pause: s.upstreamPause,
+		await: s.awaitReader, apply: s.applyUpstreamRecords,
+	})
+}
+
 // sleep waits and reports whether the server is still open.
 func (s *Server) sleep(d time.Duration) bool {
 	select {
@@ -105,20 +132,23 @@
 // follow reads a stream while the server is open and passes the records to apply: all
 // newest records at first, after a gap and after the store was restored, changes
 // otherwise.
-func (s *Server) follow(stream infra.Stream, wait time.Duration, interval func() time.Duration, apply func(records []infra.KeyedRecord, all bool)) {
+func (s *Server) follow(f feed) {
 	var cursor infra.Cursor
-	backoff, pollWait := minReadBackoff, wait
+	backoff, pollWait := minReadBackoff, f.wait
 	for s.context.Err() == nil {
+		if f.await() {
+			cursor.Reset()
+		}
 		started := s.now()
 		all := cursor.Whole()
-		page, err := s.readPage(stream, &cursor, pollWait)
-		s.recordStoreRead(stream, started, err)
+		page, err := s.readPage(f.stream, &cursor, pollWait)
+		s.recordStoreRead(f.stream, started, err)
 		if err == nil {
 			s.observeEpoch(page.Epoch)
 		}
-		pollWait = wait
+		pollWait = f.wait
 		if err != nil {
-			pollWait = min(wait, probeWait)
+			pollWait = min(f.wait, probeWait)
 		}
 		switch {
 		case errors.Is(err, infra.ErrOffsetOutOfRange):
@@ -130,9 +160,9 @@
 		case cursor.Advance(page):
 			backoff = minReadBackoff
 			if all || len(page.Records) > 0 {
-				apply(page.Records, all)
+				f.apply(page.Records, all)
 			}
-			s.sleep(interval())
+			s.sleep(f.pause())
 		}
 	}
 }
@@ -272,6 +302,7 @@
 	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
 	s.updateReducers()
 	s.memberStep(member.SelfUpdated{Version: config.Version})
+	time.AfterFunc(announceDelay, func() { s.memberStep(member.Announce{}) })
 }
 
 // applyUpstreamRecords applies records of upstreams: all of them, or changes in order.
@@ -279,6 +310,7 @@
 	now := s.now()
 	entries := s.parseEntries(records)
 	s.mu.Lock()
+	first := !s.upstreamsKnown
 	s.upstreamsKnown = true
 	before := s.directory.Len()
 	marks := s.newLeavingMarks(entries)
@@ -290,14 +322,18 @@
 		changed = s.applyEntries(now, entries)
 	}
 	after := s.directory.Len()
+	if first {
+		// Other nodes read the same at their start.
+		s.directory.TakeChanges()
+	}
 	s.mu.Unlock()
 	for _, m := range marks {
 		s.logger.Info("upstream is leaving", "upstream", m.Host, "born", m.Incarnation, "source", "store")
 		s.memberStep(member.MarkObserved{Mark: m})
 	}
 	if changed {
-		s.logger.Info("upstreams changed", "count", after, "before", before, "whole", all)
-		s.updateReducers()
+		s.logger.Info("upstreams changed", "count", after, "before", before, "whole", all, "source", "store")
+		s.directoryChanged()
 	}
 }
 
@@ -305,9 +341,7 @@
 // leaving, even if their entry was removed in between. The lock must be held.
 func (s *Server) keepDraining(entries []upstreamEntry) {
 	for i := range entries {
-		u := &entries[i].upstream
-		mark := leavingMark(*u)
-		u.Draining = u.Draining || s.group.IsLeaving(mark.Host, mark.Incarnation)
+		entries[i].upstream = s.withMark(entries[i].upstream)
 	}
 }
 
@@ -420,7 +454,7 @@
 		}
 		s.mu.Unlock()
 		if changed {
-			s.updateReducers()
+			s.directoryChanged()
 		}
 		if peer != "" {
 			go s.fetchState(peer)
