Show a drill in the platform demo, and count results that cross zones

The stand-in deployment restores its store on POST /drill; one worker says that it leaves and one asks for a pause. make platform-demo sends requests before and after it and prints what the hosts decided. The results of stages that are made in another zone than they are needed in are a counter by service, and a field of the line of each stage call.

--- a/batch/event.go
+++ b/batch/event.go
@@ -186,9 +186,11 @@
 type (
 	// Call sends pieces to a worker. CallEnded reports its end.
 	Call struct {
-		Number  int
-		Worker  fleet.Upstream
-		Items   []Item
+		Number int
+		Worker fleet.Upstream
+		Items  []Item
+		// Crossed is the number of items whose results leave the zone that needs them.
+		Crossed int
 		Timeout time.Duration
 	}
 	// Free frees results at a worker. FreeEnded reports its end; a failed Free is not
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -347,6 +347,7 @@
 		c.worker.reservedBytes += piece.bytes
 		if j.Zone != c.worker.upstream.Zone {
 			s.counts.Crossed++
+			effect.Crossed++
 		}
 		effect.Items = append(effect.Items, Item{
 			Ref: j.Ref, Piece: piece.index, Key: j.Key, Inputs: j.Inputs, TimeLeft: j.Deadline.Sub(now),
--- a/cmd/standin/deploy.go
+++ b/cmd/standin/deploy.go
@@ -28,17 +28,24 @@
 func (d *deployment) Run() error {
 	store := &stand.Store{}
 	stand.PutConfig(store, 1)
+	var plain []*stand.Worker
 	for _, zone := range d.Zones {
 		for i := range 2 {
-			if err := startWorkers(store, zone, i); err != nil {
+			workers, err := startWorkers(store, zone, i)
+			if err != nil {
 				return err
 			}
+			plain = append(plain, workers[0])
 		}
 	}
-	return listen(d.Listen, store)
+	mux := http.NewServeMux()
+	mux.Handle("/", store)
+	mux.Handle("POST /drill", &drill{store: store, leaving: plain[0], pausing: plain[1], version: 1})
+	return listen(d.Listen, mux)
 }
 
-func startWorkers(store *stand.Store, zone string, index int) error {
+// startWorkers starts a worker of each service: plain, engine and two of stages.
+func startWorkers(store *stand.Store, zone string, index int) ([]*stand.Worker, error) {
 	workers := []*stand.Worker{
 		{Service: stand.ServiceDesk, Kind: stand.Plain, Slots: 6, Delay: stageDelay},
 		{Service: stand.ServiceEngine, Kind: stand.Engine, Slots: 32, Events: 8, Delay: eventInterval},
@@ -48,10 +55,10 @@
 	for _, w := range workers {
 		w.ID, w.Zone = fmt.Sprintf("%s-%s-%d", w.Service, zone, index), zone
 		if err := w.Start(store); err != nil {
-			return fmt.Errorf("start worker %q: %w", w.ID, err)
+			return nil, fmt.Errorf("start worker %q: %w", w.ID, err)
 		}
 	}
-	return nil
+	return workers, nil
 }
 
 // ask sends one request of each kind to an entry host and prints the responses.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -22,6 +22,7 @@
 	peerFailures     *prometheus.CounterVec
 	reads            *prometheus.CounterVec
 	invalidRecords   *prometheus.CounterVec
+	crossings        *prometheus.CounterVec
 	callTimes        *prometheus.HistogramVec
 	// decisionTimes measures from the start of the request, attempt or stage to a decision,
 	// stageTimes measures stages at their owner, and overruns holds the ratio of a
@@ -52,6 +53,7 @@
 		peerFailures:     counter("peer_failures_total", "Calls to other nodes that failed.", "call"),
 		reads:            counter("store_reads_total", "Reads of the store.", "stream", "result"),
 		invalidRecords:   counter("invalid_records_total", "Records that could not be read.", "kind"),
+		crossings:        counter("stage_results_crossed_total", "Results of stages made in another zone than they are needed in.", "service"),
 		callTimes:        histogram("stage_call_seconds", "Calls to workers of stages.", durationBuckets, "service", "failure"),
 		decisionTimes:    histogram("decision_seconds", "What ends with a decision.", durationBuckets, "decision", "reason"),
 		stageTimes:       histogram("stage_seconds", "Stages of requests, at their owner.", durationBuckets, "service"),
@@ -63,7 +65,7 @@
 	}
 	m.registry.MustRegister(
 		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.invalidRecords,
-		m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
+		m.crossings, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requestCount()) }),
 		gauge("config_version", "Version of the configuration in force.", func() float64 {
 			s.mu.Lock()
@@ -110,8 +112,11 @@
 	m.storeReadTimes.WithLabelValues(string(stream)).Observe(took.Seconds())
 }
 
-func (m *metrics) observeCall(service, failure string, took time.Duration) {
-	m.callTimes.WithLabelValues(service, failure).Observe(took.Seconds())
+func (m *metrics) observeCall(c batch.Call, failure batch.Failure, took time.Duration) {
+	m.callTimes.WithLabelValues(c.Worker.Service, string(failure)).Observe(took.Seconds())
+	if failure == batch.NoFailure {
+		m.crossings.WithLabelValues(c.Worker.Service).Add(float64(c.Crossed))
+	}
 }
 
 // operatorHandler serves the metrics and the state dump.
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -142,9 +142,9 @@
 		o.step(batch.Close{})
 		return
 	}
-	o.server.metrics.observeCall(c.Worker.Service, string(failure), time.Since(started))
+	o.server.metrics.observeCall(c, failure, time.Since(started))
 	o.server.logger.Info("stage call", "service", c.Worker.Service, "worker", c.Worker.ID, "zone", c.Worker.Zone,
-		"pieces", len(c.Items), "first", c.Items[0].Ref.Request, "last", c.Items[len(c.Items)-1].Ref.Request,
+		"pieces", len(c.Items), "crossed", c.Crossed, "first", c.Items[0].Ref.Request, "last", c.Items[len(c.Items)-1].Ref.Request,
 		"took_ms", time.Since(started).Milliseconds(), "failure", string(failure))
 	o.step(batch.CallEnded{Call: c.Number, Outcomes: outcomes, Failure: failure})
 }
--- a/scripts/platform-demo.sh
+++ b/scripts/platform-demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs a deployment on one machine: stand-ins for the users' platform (store and
-# workers) and two entry hosts. Sends one request of each kind to each entry host and
-# fails if a request fails.
+# workers) and two entry hosts. Sends one request of each kind to each entry host, before
+# and after a drill: the store is restored from a copy, an upstream leaves and another one
+# asks for a pause. Fails if a request fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -45,6 +46,12 @@
 	printf 'entry-%d\n' "$i"
 	bin/standin ask --node "127.0.0.1:$((base + 10 * i))"
 done
+printf 'drill\n'
+bin/standin send POST "http://127.0.0.1:$base/drill"
+for i in 1 2 1 2; do
+	bin/standin ask --node "127.0.0.1:$((base + 10 * i))" >/dev/null
+done
+grep -hoE '"(store was restored from a copy|upstream is leaving|upstream asked for a pause|configuration in force)".*' "$work"/entry-*.log
 sleep 0.3
 printf 'decisions on the last stream:\n'
 cat "$work"/entry-*.log | grep -F "$(grep -ho '"request":"demo-[^"]*-2"' "$work"/entry-2.log | tail -n 1)" | tail -n 8
