Give the jobs of a zone that does not answer to the own zone's owner

Cause: with an owner a zone, a host that is cut off from a zone would try its nodes one by one, 0.4 s each, before a job ran anywhere.

Change: a node of another zone that does not answer at all makes its zone silent for 1 s, and twice as long each time in a row up to 4 s; its jobs then go to the owner of the own zone. State leaves out a configuration that the caller has, so that a host that fetches upstreams does not get 1,400 routes with them.

Test: TestOwnerOfZone.

--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -181,7 +181,11 @@
 	wantOwner("b", "b")
 	s.peers.markSuspect("a:1")
 	wantOwner("a", "b")
-	s.division = batch.Division{}
 	s.peers.markReachable("a:1")
+	s.peers.markZoneSilent("a")
+	wantOwner("a", "b")
+	s.peers.markZoneReachable("a")
+	wantOwner("a", "a")
+	s.division = batch.Division{}
 	wantOwner("b", "a")
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -25,6 +25,8 @@
 	client *http.Client
 	mu     sync.Mutex
 	byAddr map[string]*peerConn
+	// zones records by zone that its nodes did not answer at all.
+	zones map[string]*health.Record
 }
 
 // A peerConn holds the clients of another node and its health.
@@ -56,10 +58,14 @@
 // peerBackoff bounds how long a node that could not be reached gets no work.
 var peerBackoff = health.Backoff{Min: 1500 * time.Millisecond, Max: 12 * time.Second}
 
+// zoneBackoff bounds how long the nodes of a zone get no work after one of them did not
+// answer.
+var zoneBackoff = health.Backoff{Min: time.Second, Max: 4 * time.Second}
+
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &peers{client: &http.Client{Transport: transport}, byAddr: make(map[string]*peerConn)}
+	return &peers{client: &http.Client{Transport: transport}, byAddr: make(map[string]*peerConn), zones: make(map[string]*health.Record)}
 }
 
 // getOrCreate returns the entry of a node. The lock must be held.
@@ -109,6 +115,32 @@
 	return known != nil && known.health.Suspect(time.Now())
 }
 
+// markZoneSilent records that a node of a zone did not answer, which is likely to hold for
+// the other nodes of the zone.
+func (p *peers) markZoneSilent(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.zones[zone] == nil {
+		p.zones[zone] = &health.Record{}
+	}
+	p.zones[zone].Fail(time.Now(), zoneBackoff)
+}
+
+// markZoneReachable records that a node of a zone has answered.
+func (p *peers) markZoneReachable(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.zones, zone)
+}
+
+// isZoneSilent reports whether a zone's nodes are not to be tried for now.
+func (p *peers) isZoneSilent(zone string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	record := p.zones[zone]
+	return record != nil && record.Suspect(time.Now())
+}
+
 // cancelOnSilence cancels a call if its node becomes unresponsive. The caller calls
 // the returned function when the call has ended.
 func (p *peers) cancelOnSilence(addr string, cancel context.CancelFunc) func() {
@@ -187,10 +219,13 @@
 }
 
 // State returns the configuration's document and the upstreams.
-func (p peerService) State(context.Context, *peerpb.StateRequest) (*peerpb.StateReply, error) {
+func (p peerService) State(_ context.Context, m *peerpb.StateRequest) (*peerpb.StateReply, error) {
 	s := p.server
 	s.mu.Lock()
-	document := s.config
+	var document []byte
+	if s.configVersion() > m.GetVersion() {
+		document = s.config
+	}
 	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed()}
 	s.mu.Unlock()
 	hosts, err := json.Marshal(state)
@@ -303,7 +338,10 @@
 	}()
 	ctx, cancel := context.WithTimeout(s.context, stateTimeout)
 	defer cancel()
-	m, err := s.peers.gossip(addr).State(ctx, &peerpb.StateRequest{})
+	s.mu.Lock()
+	version := s.configVersion()
+	s.mu.Unlock()
+	m, err := s.peers.gossip(addr).State(ctx, &peerpb.StateRequest{Version: version})
 	if err != nil {
 		s.metrics.countPeerFailure("state")
 		return
