--- a/relay/peers.go
+++ b/relay/peers.go
@@ -361,7 +361,7 @@
 // knows unless they can be read from the store.
 func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
-	s.joined = true
+	s.join.Finish()
 	before := s.directory.Fingerprint()
 	changed := s.directory.MergeRemoved(state.Removed)
 	if !s.upstreamsKnown || !s.reader || s.storeOutage() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -95,18 +95,12 @@
 	// epoch is the newest epoch of the store that was seen, if epochKnown is true.
 	epoch      infra.Epoch
 	epochKnown bool
-	// joined is true once the node has the state of a peer. lastJoin is when it last
-	// asked for it.
-	joined   bool
-	lastJoin time.Time
+	// join decides how long the node waits for the state of a peer after its start.
+	join member.Join
 	// reader is true while the node reads the upstreams from the store. repair decides
 	// when it fetches them from another node otherwise.
 	reader bool
 	repair fleet.Repair
-	// nodesRead is true once the nodes were read from the store. nodesListed is the
-	// number of other nodes there.
-	nodesRead   bool
-	nodesListed int
 
 	// notifyMu serializes updates of upstreams and services in the reducers. It is
 	// locked before mu.
@@ -173,6 +167,9 @@
 // now returns the current time by the monotonic clock.
 func (s *Server) now() time.Time { return s.started.Add(time.Since(s.started)) }
 
+// uptime returns the time since the server was created.
+func (s *Server) uptime() time.Duration { return time.Since(s.started) }
+
 // step applies an event to the node. It performs the effects that concern no single
 // request and returns the others.
 func (s *Server) step(event proxy.Event) []proxy.Effect {
@@ -305,7 +302,7 @@
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	reason := s.node.Unready()
-	if reason == "" && s.joining(s.now()) {
+	if reason == "" && s.join.Waits(s.uptime(), s.group) {
 		reason = "state of other nodes is not known yet"
 	}
 	s.mu.Unlock()
--- /dev/null
+++ b/relay/store.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"teaselplank/infra"
+)
+
+const (
+	// configWait is how long a read waits for a change of the configuration.
+	configWait = 15 * time.Second
+	// upstreamWait is the same for the upstreams, whose entries change constantly.
+	upstreamWait = 2 * time.Second
+	// minUpstreamPause and maxUpstreamPause bound the pause between two reads of the
+	// upstreams. The pause is minimal up to nodesAtMinPause nodes and grows with
+	// their number, because the first node that reads that an upstream is leaving
+	// informs the others. The maximum leaves time to react to a leaving upstream
+	// within two seconds.
+	minUpstreamPause = 450 * time.Millisecond
+	maxUpstreamPause = 1200 * time.Millisecond
+	nodesAtMinPause  = 12
+	// minReadBackoff and maxReadBackoff bound the backoff after a failed read.
+	minReadBackoff = 150 * time.Millisecond
+	maxReadBackoff = 900 * time.Millisecond
+	// storeOutageAfter is how long reads must fail before the node assumes a store
+	// outage.
+	storeOutageAfter = 1200 * time.Millisecond
+	// probeWait is how long the read after a failed one waits for changes. It is short,
+	// because a silent store may never answer that read, which then delays the next ones.
+	probeWait = 300 * time.Millisecond
+	// storeTimeout bounds reading all newest records and writing the node's own entry.
+	storeTimeout = 4 * time.Second
+)
+
+// A feed describes how a stream is read.
+type feed struct {
+	stream infra.Stream
+	// wait is how long a read waits for changes, and pause the time between two reads.
+	wait  time.Duration
+	pause func() time.Duration
+	// await waits until the node is to read. It reports whether reads were left out.
+	await func() bool
+	// apply applies records: all newest ones, or changes in order.
+	apply func(records []infra.KeyedRecord, all bool)
+}
+
+func (s *Server) followConfig() {
+	s.follow(feed{
+		stream: infra.StreamConfig, wait: configWait, pause: func() time.Duration { return 0 },
+		await: func() bool { return false }, apply: s.applyConfigRecords,
+	})
+}
+
+// followUpstreams reads the upstreams while this node is one of those that do.
+func (s *Server) followUpstreams() {
+	s.follow(feed{
+		stream: infra.StreamUpstreams, wait: upstreamWait, pause: s.upstreamPause,
+		await: s.awaitReader, apply: s.applyUpstreamRecords,
+	})
+}
+
+// upstreamPause returns the pause between two reads of the upstreams.
+func (s *Server) upstreamPause() time.Duration {
+	s.mu.Lock()
+	nodes := len(s.group.Peers()) + 1
+	s.mu.Unlock()
+	return upstreamPauseFor(nodes)
+}
+
+func upstreamPauseFor(nodes int) time.Duration {
+	pause := minUpstreamPause * time.Duration(nodes) / nodesAtMinPause
+	return min(max(pause, minUpstreamPause), maxUpstreamPause)
+}
+
+// A streamState is the state of reading a stream of the store. The zero value has read
+// nothing.
+type streamState struct {
+	// lastRead is when a read last succeeded, or when the node started reading.
+	// failing is true if the last read failed.
+	lastRead time.Time
+	failing  bool
+	// cancel cancels the latest read for changes. It is nil before the first one.
+	cancel context.CancelFunc
+}
+
+// streamState returns the state of reading a stream. The lock must be held.
+func (s *Server) streamState(stream infra.Stream) *streamState {
+	state := s.streams[stream]
+	if state == nil {
+		state = &streamState{lastRead: s.now()}
+		s.streams[stream] = state
+	}
+	return state
+}
+
+// follow reads a stream while the server is open and passes the records to apply: all
+// newest records at first, after a gap and after the store was restored, changes
+// otherwise.
+func (s *Server) follow(f feed) {
+	var cursor infra.Cursor
+	backoff, pollWait := minReadBackoff, f.wait
+	for s.context.Err() == nil {
+		if f.await() {
+			cursor.Reset()
+		}
+		started := s.now()
+		all := cursor.Whole()
+		page, err := s.readPage(f.stream, &cursor, pollWait)
+		s.recordStoreRead(f.stream, started, err)
+		if err == nil {
+			s.observeEpoch(page.Epoch)
+		}
+		pollWait = f.wait
+		if err != nil {
+			pollWait = min(f.wait, probeWait)
+		}
+		switch {
+		case errors.Is(err, infra.ErrOffsetOutOfRange):
+			cursor.Reset()
+		case errors.Is(err, context.Canceled):
+		case err != nil:
+			s.sleep(backoff)
+			backoff = min(2*backoff, maxReadBackoff)
+		case cursor.Advance(page):
+			backoff = minReadBackoff
+			if all || len(page.Records) > 0 {
+				f.apply(page.Records, all)
+			}
+			s.sleep(f.pause())
+		}
+	}
+}
+
+func (s *Server) readPage(stream infra.Stream, cursor *infra.Cursor, wait time.Duration) (infra.Page, error) {
+	if cursor.Whole() {
+		return s.readNewest(stream)
+	}
+	return s.readChanges(stream, cursor.Next(), wait)
+}
+
+// observeEpoch starts a grace period for upstreams if the store was restored from a copy,
+// restarts the reads that wait for changes, and lets the node write its own entry again.
+func (s *Server) observeEpoch(epoch infra.Epoch) {
+	s.mu.Lock()
+	before, known := s.epoch, s.epochKnown
+	if known && epoch <= before {
+		s.mu.Unlock()
+		return
+	}
+	s.epoch, s.epochKnown = epoch, true
+	if known {
+		s.directory.StoreRecovered(s.now())
+		for _, state := range s.streams {
+			state.cancelRead()
+		}
+	}
+	s.mu.Unlock()
+	if !known {
+		return
+	}
+	s.logger.Warn("store was restored from a copy", "epoch", int64(epoch), "before", int64(before))
+	select {
+	case s.restored <- struct{}{}:
+	default:
+		// The loop has not handled the restoration before this one yet.
+	}
+}
+
+// readChanges reads the changes from an offset, unless the read is cancelled.
+func (s *Server) readChanges(stream infra.Stream, from int64, wait time.Duration) (infra.Page, error) {
+	ctx, cancel := context.WithCancel(s.context)
+	defer cancel()
+	s.mu.Lock()
+	s.streamState(stream).cancel = cancel
+	s.mu.Unlock()
+	return s.registry.Changes(ctx, stream, from, wait)
+}
+
+func (s *Server) readNewest(stream infra.Stream) (infra.Page, error) {
+	ctx, cancel := context.WithTimeout(s.context, storeTimeout)
+	defer cancel()
+	return s.registry.Newest(ctx, stream)
+}
+
+// recordStoreRead records the outcome of a read of the store and logs the start and
+// end of a store outage.
+func (s *Server) recordStoreRead(stream infra.Stream, started time.Time, err error) {
+	if errors.Is(err, context.Canceled) {
+		// The node itself ended the read, so it says nothing about the store.
+		return
+	}
+	now := s.now()
+	ok := err == nil || errors.Is(err, infra.ErrOffsetOutOfRange)
+	s.metrics.observeRead(stream, ok, now.Sub(started))
+	s.mu.Lock()
+	state := s.streamState(stream)
+	away, wasFailing := now.Sub(state.lastRead), state.failing
+	state.failing = !ok
+	if ok {
+		state.lastRead = now
+		if wasFailing && stream == infra.StreamUpstreams {
+			s.directory.StoreRecovered(now)
+			// If the read of the configuration was sent before the store stopped
+			// answering, it may get no answer although newer reads do.
+			s.streamState(infra.StreamConfig).cancelRead()
+		}
+	}
+	s.mu.Unlock()
+	switch {
+	case !ok && !wasFailing:
+		s.logger.Warn("store is unreachable", "stream", string(stream), "error", err.Error())
+	case ok && wasFailing:
+		s.logger.Info("store is reachable again", "stream", string(stream), "away_ms", away.Milliseconds())
+	}
+}
+
+// cancelRead cancels the latest read for changes, so that a new one starts. The lock must
+// be held.
+func (s *streamState) cancelRead() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// storeOutage reports whether the upstreams cannot be read from the store. The lock
+// must be held.
+func (s *Server) storeOutage() bool {
+	state := s.streams[infra.StreamUpstreams]
+	return state == nil || state.failing && s.now().Sub(state.lastRead) > storeOutageAfter
+}
