--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -2,12 +2,9 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"teaselplank/queue"
 )
 
@@ -51,10 +48,6 @@
 	entries map[string]*entry
 	// removed holds the last entry of each removed upstream by id, maxRemovals at most.
 	removed queue.FIFOMap[string, Removal]
-	// changes holds the changes since the last TakeChanges, except of heartbeats.
-	changes []Change
-	// fingerprint caches the result of Fingerprint, unless it is 0.
-	fingerprint uint64
 	// graceUntil is the end of the grace period after a store outage.
 	graceUntil time.Time
 }
@@ -71,13 +64,6 @@
 	Seq  int64
 }
 
-// A Change is a new or changed registration. If Removed is true, the upstream is gone, and
-// only ID, Born and Seq are set.
-type Change struct {
-	Upstream Upstream
-	Removed  bool
-}
-
 // covers reports whether an entry is not newer than the removal.
 func (r Removal) covers(u Upstream) bool {
 	return u.Born < r.Born || u.Born == r.Born && u.Seq <= r.Seq
@@ -105,7 +91,6 @@
 	old := d.entries[u.ID]
 	if old == nil {
 		d.entries[u.ID] = &entry{upstream: u}
-		d.record(Change{Upstream: u})
 		return true
 	}
 	// Ignore entries of older processes and older entries of the same process. Draining
@@ -120,53 +105,9 @@
 	previous.Seq, previous.Warmup = u.Seq, u.Warmup
 	changed := previous != u
 	old.upstream, old.removeAt = u, time.Time{}
-	if changed {
-		d.record(Change{Upstream: u})
-	}
-	return changed
-}
-
-func (d *Directory) record(c Change) {
-	d.changes = append(d.changes, c)
-	d.fingerprint = 0
-}
-
-// TakeChanges returns the changes since the last call, in order.
-func (d *Directory) TakeChanges() []Change {
-	changes := d.changes
-	d.changes = nil
-	return changes
-}
-
-// Merge applies changes that another node has seen and reports whether the directory
-// changes.
-func (d *Directory) Merge(changes []Change) bool {
-	changed := false
-	for _, c := range changes {
-		if c.Removed {
-			changed = d.MergeRemoved([]Removal{{ID: c.Upstream.ID, Born: c.Upstream.Born, Seq: c.Upstream.Seq}}) || changed
-			continue
-		}
-		changed = d.Put(c.Upstream) || changed
-	}
 	return changed
 }
 
-// Fingerprint returns a hash of the registered processes. Directories with the same
-// processes have the same fingerprint; it is never 0.
-func (d *Directory) Fingerprint() uint64 {
-	if d.fingerprint != 0 {
-		return d.fingerprint
-	}
-	for _, e := range d.entries {
-		d.fingerprint ^= xxhash.Sum64String(e.upstream.ID + "\x00" + strconv.FormatInt(e.upstream.Born, 10))
-	}
-	if d.fingerprint == 0 {
-		d.fingerprint = 1
-	}
-	return d.fingerprint
-}
-
 // Remove removes the entry of an upstream and reports whether the directory changes.
 // During the grace period after a store outage it only schedules the removal, unless
 // the upstream is draining.
@@ -187,11 +128,7 @@
 func (d *Directory) remove(u Upstream) {
 	d.removed.Limit = maxRemovals
 	d.removed.Put(u.ID, Removal{ID: u.ID, Born: u.Born, Seq: u.Seq})
-	if d.entries[u.ID] == nil {
-		return
-	}
 	delete(d.entries, u.ID)
-	d.record(Change{Removed: true, Upstream: Upstream{ID: u.ID, Born: u.Born, Seq: u.Seq}})
 }
 
 // Removed returns the removed upstreams that the directory remembers.
--- a/member/event.go
+++ b/member/event.go
@@ -28,10 +28,6 @@
 	Rates   map[string]float64
 }
 
-// Announce asks this node to send its digest to a few nodes at once, so that a newer
-// version of its rules does not wait for the next rounds.
-type Announce struct{}
-
 // Tick advances the reducer to the current time.
 type Tick struct{}
 
@@ -40,7 +36,6 @@
 func (MarkObserved) MemberEvent()   {}
 func (Stop) MemberEvent()           {}
 func (SelfUpdated) MemberEvent()    {}
-func (Announce) MemberEvent()       {}
 func (Tick) MemberEvent()           {}
 
 // Gossip asks the caller to send a digest to a node and to pass the digest that the
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -10,9 +10,6 @@
 	From  Node   `json:"from"`
 	Nodes []Node `json:"nodes"`
 	Marks []Mark `json:"marks"`
-	// Upstreams is a hash of the upstreams that the node knows, or 0. The caller sets
-	// and compares it.
-	Upstreams uint64 `json:"upstreams,omitempty"`
 }
 
 func (g *Group) receive(now time.Time, d Digest) {
@@ -104,9 +101,6 @@
 	return d
 }
 
-// RandomAddrs returns the addresses of up to count random nodes other than this one.
-func (g *Group) RandomAddrs(count int) []string { return g.randomAddrs(count) }
-
 // randomAddrs returns the addresses of up to count random nodes other than this one.
 // About one call in four chooses among the listed entry hosts and the seeds instead, so
 // that a partition heals. So does every call while all peers are dead.
--- a/member/member.go
+++ b/member/member.go
@@ -176,10 +176,6 @@
 		g.addMark(Mark{g.self.ID, g.self.Incarnation})
 	case SelfUpdated:
 		g.self.Version, g.self.Rates = e.Version, e.Rates
-	case Announce:
-		for _, addr := range g.randomAddrs(g.config.Fanout) {
-			g.emit(Gossip{addr, Digest{From: g.self}})
-		}
 	case Tick:
 		g.tick(now)
 	}
--- a/member/message.go
+++ b/member/message.go
@@ -11,7 +11,6 @@
 	for _, k := range d.Marks {
 		m.Marks = append(m.Marks, &peerpb.MarkMessage{Host: k.Host, Incarnation: k.Incarnation})
 	}
-	m.Upstreams = d.Upstreams
 	return m
 }
 
@@ -36,7 +35,6 @@
 	for _, k := range m.GetMarks() {
 		d.Marks = append(d.Marks, Mark{Host: k.GetHost(), Incarnation: k.GetIncarnation()})
 	}
-	d.Upstreams = m.GetUpstreams()
 	return d
 }
 
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -16,7 +16,7 @@
 	// nodes that start together read too early to find each other, and grows with each
 	// read up to maxNodesPause.
 	minNodesPause = 400 * time.Millisecond
-	maxNodesPause = time.Minute
+	maxNodesPause = 20 * time.Second
 )
 
 // followNodes writes the node's entry to the store and reads those of the others. Nodes
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -182,10 +182,6 @@
 	s.peers.markSuspect("a:1")
 	wantOwner("a", "b")
 	s.peers.markReachable("a:1")
-	s.peers.markZoneSilent("a")
-	wantOwner("a", "b")
-	s.peers.markZoneReachable("a")
-	wantOwner("a", "a")
 	s.division = batch.Division{}
 	wantOwner("b", "a")
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,8 +24,6 @@
 	client *http.Client
 	mu     sync.Mutex
 	byAddr map[string]*peerConn
-	// zones records by zone that its nodes did not answer at all.
-	zones map[string]*health.Record
 }
 
 // A peerConn holds the clients of another node and its health.
@@ -58,14 +55,10 @@
 // peerBackoff bounds how long a node that could not be reached gets no work.
 var peerBackoff = health.Backoff{Min: 1500 * time.Millisecond, Max: 12 * time.Second}
 
-// zoneBackoff bounds how long the nodes of a zone get no work after one of them did not
-// answer.
-var zoneBackoff = health.Backoff{Min: time.Second, Max: 4 * time.Second}
-
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &peers{client: &http.Client{Transport: transport}, byAddr: make(map[string]*peerConn), zones: make(map[string]*health.Record)}
+	return &peers{client: &http.Client{Transport: transport}, byAddr: make(map[string]*peerConn)}
 }
 
 // getOrCreate returns the entry of a node. The lock must be held.
@@ -115,32 +108,6 @@
 	return known != nil && known.health.Suspect(time.Now())
 }
 
-// markZoneSilent records that a node of a zone did not answer, which is likely to hold for
-// the other nodes of the zone.
-func (p *peers) markZoneSilent(zone string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.zones[zone] == nil {
-		p.zones[zone] = &health.Record{}
-	}
-	p.zones[zone].Fail(time.Now(), zoneBackoff)
-}
-
-// markZoneReachable records that a node of a zone has answered.
-func (p *peers) markZoneReachable(zone string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.zones, zone)
-}
-
-// isZoneSilent reports whether a zone's nodes are not to be tried for now.
-func (p *peers) isZoneSilent(zone string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	record := p.zones[zone]
-	return record != nil && record.Suspect(time.Now())
-}
-
 // cancelOnSilence cancels a call if its node becomes unresponsive. The caller calls
 // the returned function when the call has ended.
 func (p *peers) cancelOnSilence(addr string, cancel context.CancelFunc) func() {
@@ -213,9 +180,7 @@
 	s.memberStep(member.DigestReceived{Digest: member.DigestFromMessage(m)})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	digest := s.group.Digest()
-	digest.Upstreams = s.upstreamsHash()
-	return digest.Message(), nil
+	return s.group.Digest().Message(), nil
 }
 
 // State returns the configuration's document and the upstreams.
@@ -261,12 +226,9 @@
 		}
 	}
 	live := len(s.group.Live())
-	for i := range sends {
-		sends[i].Digest.Upstreams = s.upstreamsHash()
-	}
-	var source string
+	var newer string
 	if received, ok := event.(member.DigestReceived); ok {
-		source = cmp.Or(s.newerConfigAddr(received.Digest), s.repairAddr(received.Digest))
+		newer = s.newerConfigAddr(received.Digest)
 	}
 	s.mu.Unlock()
 	s.step(proxy.NodeCount{Count: live})
@@ -276,8 +238,8 @@
 	for _, g := range sends {
 		go s.sendDigest(g)
 	}
-	if source != "" {
-		go s.fetchState(source)
+	if newer != "" {
+		go s.fetchState(newer)
 	}
 }
 
@@ -362,16 +324,14 @@
 func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
 	s.join.Finish()
-	before := s.directory.Fingerprint()
 	changed := s.directory.MergeRemoved(state.Removed)
-	if !s.upstreamsKnown || !s.reader || s.storeOutage() {
+	if !s.upstreamsKnown || s.storeOutage() {
 		changed = s.putUpstreams(state.Upstreams) || changed
 	}
-	after := s.directory.Fingerprint()
 	s.mu.Unlock()
 	if changed {
-		s.logger.Info("upstreams merged with those of another node", "upstreams", len(state.Upstreams), "removed", len(state.Removed), "differed", before != after)
-		s.directoryChanged()
+		s.logger.Info("upstreams merged with those of another node", "upstreams", len(state.Upstreams), "removed", len(state.Removed))
+		s.updateReducers()
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,10 +97,6 @@
 	epochKnown bool
 	// join decides how long the node waits for the state of a peer after its start.
 	join member.Join
-	// reader is true while the node reads the upstreams from the store. repair decides
-	// when it fetches them from another node otherwise.
-	reader bool
-	repair fleet.Repair
 
 	// notifyMu serializes updates of upstreams and services in the reducers. It is
 	// locked before mu.
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -83,7 +83,7 @@
 // node owns all services there, as admitting a request depends on all the stages that it
 // needs. A node whose heartbeats are late remains a candidate: nodes must agree on the
 // owner, and each of them sees different heartbeats late. Failed calls exclude a node. If
-// no node of the zone is left or answers, a node of another zone is the owner.
+// no node of the zone is left, a node of another zone is the owner.
 func (s *Server) stageOwner(zone string) member.Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,10 +93,6 @@
 	if len(candidates) == 0 {
 		return s.self
 	}
-	if s.peers.isZoneSilent(zone) {
-		// Each of its nodes would have to time out in turn.
-		zone = s.self.Zone
-	}
 	local := slices.DeleteFunc(slices.Clone(candidates), func(n member.Node) bool {
 		return !s.division.Same(n.Zone, zone)
 	})
@@ -139,12 +135,8 @@
 		s.logDecision(trace.OwnerFailed, "request", job.Ref.Request, "service", job.Service, "owner", node.ID,
 			"silent", ctx.Err() != nil, "moved", err == nil)
 		s.peers.markSuspect(node.Addr)
-		if node.Zone != s.self.Zone && (ctx.Err() != nil || isTimeout(err)) {
-			s.peers.markZoneSilent(node.Zone)
-		}
 		return nil, false
 	}
-	s.peers.markZoneReachable(node.Zone)
 	if len(reply.GetResults()) == 0 {
 		return proxy.StageFailed{
 			Number: number, Stage: job.Ref.Stage, Reason: batch.Reason(reply.GetReason()),
--- a/relay/store.go
+++ b/relay/store.go
@@ -40,8 +40,6 @@
 	// wait is how long a read waits for changes, and pause the time between two reads.
 	wait  time.Duration
 	pause func() time.Duration
-	// await waits until the node is to read. It reports whether reads were left out.
-	await func() bool
 	// apply applies records: all newest ones, or changes in order.
 	apply func(records []infra.KeyedRecord, all bool)
 }
@@ -49,15 +47,14 @@
 func (s *Server) followConfig() {
 	s.follow(feed{
 		stream: infra.StreamConfig, wait: configWait, pause: func() time.Duration { return 0 },
-		await: func() bool { return false }, apply: s.applyConfigRecords,
+		apply: s.applyConfigRecords,
 	})
 }
 
-// followUpstreams reads the upstreams while this node is one of those that do.
 func (s *Server) followUpstreams() {
 	s.follow(feed{
 		stream: infra.StreamUpstreams, wait: upstreamWait, pause: s.upstreamPause,
-		await: s.awaitReader, apply: s.applyUpstreamRecords,
+		apply: s.applyUpstreamRecords,
 	})
 }
 
@@ -102,9 +99,6 @@
 	var cursor infra.Cursor
 	backoff, pollWait := minReadBackoff, f.wait
 	for s.context.Err() == nil {
-		if f.await() {
-			cursor.Reset()
-		}
 		started := s.now()
 		all := cursor.Whole()
 		page, err := s.readPage(f.stream, &cursor, pollWait)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -71,7 +71,6 @@
 	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
 	s.updateReducers()
 	s.memberStep(member.SelfUpdated{Version: config.Version})
-	time.AfterFunc(announceDelay, func() { s.memberStep(member.Announce{}) })
 }
 
 // applyUpstreamRecords applies records of upstreams: all of them, or changes in order.
@@ -79,7 +78,6 @@
 	now := s.now()
 	entries := s.parseEntries(records)
 	s.mu.Lock()
-	first := !s.upstreamsKnown
 	s.upstreamsKnown = true
 	before := s.directory.Len()
 	marks := s.newLeavingMarks(entries)
@@ -91,10 +89,6 @@
 		changed = s.applyEntries(now, entries)
 	}
 	after := s.directory.Len()
-	if first {
-		// Other nodes read the same at their start.
-		s.directory.TakeChanges()
-	}
 	s.mu.Unlock()
 	for _, m := range marks {
 		s.logger.Info("upstream is leaving", "upstream", m.Host, "born", m.Incarnation, "source", "store")
@@ -102,7 +96,7 @@
 	}
 	if changed {
 		s.logger.Info("upstreams changed", "count", after, "before", before, "whole", all, "source", "store")
-		s.directoryChanged()
+		s.updateReducers()
 	}
 }
 
@@ -114,6 +108,14 @@
 	}
 }
 
+// withMark returns the upstream, which drains if it has announced that it is leaving. The
+// lock must be held.
+func (s *Server) withMark(u fleet.Upstream) fleet.Upstream {
+	mark := leavingMark(u)
+	u.Draining = u.Draining || s.group.IsLeaving(mark.Host, mark.Incarnation)
+	return u
+}
+
 // An upstreamEntry is a parsed record of an upstream. It has no upstream if the record
 // removes it or cannot be parsed.
 type upstreamEntry struct {
@@ -226,7 +228,7 @@
 		}
 		s.mu.Unlock()
 		if changed {
-			s.directoryChanged()
+			s.updateReducers()
 		}
 		if peer != "" {
 			go s.fetchState(peer)
--- a/server/peers.go
+++ b/server/peers.go
@@ -128,11 +128,6 @@
 	return reply, nil
 }
 
-// Update belongs to deployments; this node has no upstreams of one.
-func (p peerService) Update(context.Context, *peerpb.UpdateMessage) (*peerpb.UpdateReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "node serves no deployment")
-}
-
 // Forward runs a call that another node forwards to this one.
 func (p peerService) Forward(ctx context.Context, m *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
 	s := p.server
