--- a/batch/batch.go
+++ b/batch/batch.go
@@ -106,7 +106,7 @@
 	case SetWorkers:
 		s.update(e)
 	case Held:
-		s.hold(e)
+		s.pauseWorker(e)
 	case Drain:
 		s.drain(func(j *job) bool { return j.sent })
 	case Close:
@@ -171,8 +171,12 @@
 		return
 	}
 	p := s.pools[j.Service]
-	if p == nil || len(p.usable(now)) == 0 {
-		s.refuse(&job{Job: j}, ReasonNoWorker, max(noWorkerRetryAfter, p.holdLeft(now)))
+	if p == nil {
+		s.refuse(&job{Job: j}, ReasonNoWorker, noWorkerRetryAfter)
+		return
+	}
+	if len(p.usable(now)) == 0 {
+		s.refuse(&job{Job: j}, ReasonNoWorker, max(noWorkerRetryAfter, p.pauseLeft(now)))
 		return
 	}
 	s.removeUpcoming(j.Ref)
@@ -206,7 +210,7 @@
 }
 
 func (s *Scheduler) queryWorker(now time.Time, w *worker) {
-	if !w.onHold(now) {
+	if !w.pause.Active(now) {
 		s.emit(QueryMemory{Worker: w.upstream})
 	}
 }
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/health"
 )
 
 // A pool is the workers of one stage service and the jobs queued for them.
@@ -90,22 +91,15 @@
 	return fast
 }
 
-// holdLeft returns how long all workers want no calls, or 0 if one of them accepts some.
-func (p *pool) holdLeft(now time.Time) time.Duration {
-	if p == nil {
-		return 0
-	}
-	var shortest time.Duration
+// pauseLeft returns how long all workers want no calls, or 0 if one of them accepts some.
+func (p *pool) pauseLeft(now time.Time) time.Duration {
+	var pauses []health.Pause
 	for _, w := range p.workers {
-		switch left := w.heldUntil.Sub(now); {
-		case w.upstream.Draining:
-		case left <= 0:
-			return 0
-		case shortest == 0 || left < shortest:
-			shortest = left
+		if !w.upstream.Draining {
+			pauses = append(pauses, w.pause)
 		}
 	}
-	return shortest
+	return health.FirstEnd(now, pauses)
 }
 
 // sweep removes the jobs without pending pieces from the queue.
@@ -151,7 +145,7 @@
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.expireJobs(now, p)
 	for _, w := range p.workers {
-		if len(w.toFree) > 0 && !w.onHold(now) && now.Sub(w.lastFreeAt) >= freeInterval {
+		if len(w.toFree) > 0 && !w.pause.Active(now) && now.Sub(w.lastFreeAt) >= freeInterval {
 			s.emit(Free{Worker: w.upstream, Handles: w.toFree})
 			w.toFree, w.lastFreeAt = nil, now
 		}
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -23,9 +23,8 @@
 	// pausedUntil is when the worker may get calls again after it had no capacity or
 	// memory.
 	pausedUntil time.Time
-	// heldUntil is when the worker accepts calls of any kind again, after it asked for
-	// a pause.
-	heldUntil time.Time
+	// pause is how long the worker wants no calls of any kind.
+	pause health.Pause
 	// held maps handles to the results at the worker, usedBytes is their approximate
 	// size, and reservedBytes that of the results of the calls in flight.
 	held          map[string]heldResult
@@ -85,17 +84,13 @@
 
 // usable reports whether the worker can be sent calls at all.
 func (w *worker) usable(now time.Time) bool {
-	return !w.upstream.Draining && !w.onHold(now) && !w.health.Suspect(now)
+	return !w.upstream.Draining && !w.pause.Active(now) && !w.health.Suspect(now)
 }
 
-// onHold reports whether the worker wants no calls of any kind now.
-func (w *worker) onHold(now time.Time) bool { return now.Before(w.heldUntil) }
-
-// hold records that a worker wants no calls for some time.
-func (s *Scheduler) hold(e Held) {
-	w := s.worker(e.Worker)
-	if w != nil && w.upstream.Born == e.Born && e.Until.After(w.heldUntil) {
-		w.heldUntil = e.Until
+// pauseWorker records that a worker wants no calls for some time.
+func (s *Scheduler) pauseWorker(e Held) {
+	if w := s.worker(e.Worker); w != nil && w.upstream.Born == e.Born {
+		w.pause.Extend(e.Until)
 	}
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -37,7 +37,7 @@
 	}
 	chosen, ok := n.pick(p.candidates(now, r.tried), r)
 	if !ok {
-		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.holdLeft(now)))
+		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now)))
 		return
 	}
 	if !r.apply(transitionSend) {
@@ -150,7 +150,7 @@
 		return
 	}
 	if r.attempt >= maxAttempts || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
-		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.holdLeft(now)))
+		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.pauseLeft(now)))
 		return
 	}
 	n.retry(now, r, "upstream refused")
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -34,9 +34,8 @@
 	failureRate      float64
 	// health tracks the failures since the last success.
 	health health.Record
-	// heldUntil is when the upstream accepts requests of this node again, after it
-	// asked for a pause. A success of an earlier request does not change it.
-	heldUntil time.Time
+	// pause is how long the upstream wants no requests of this node.
+	pause health.Pause
 	// lastResponse is the time of the upstream's last response.
 	lastResponse time.Time
 }
@@ -87,7 +86,7 @@
 func (p *pool) candidates(now time.Time, tried []string) []picker.Candidate {
 	var found []picker.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || u.onHold(now) || u.health.Suspect(now) || slices.Contains(tried, u.ID) {
+		if u.Draining || u.pause.Active(now) || u.health.Suspect(now) || slices.Contains(tried, u.ID) {
 			continue
 		}
 		found = append(found, picker.Candidate{
@@ -98,31 +97,23 @@
 	return found
 }
 
-// hold records that an upstream wants no requests for some time.
-func (n *Node) hold(e UpstreamHeld) {
-	u := n.upstream(e.ID)
-	if u != nil && u.Born == e.Born && e.Until.After(u.heldUntil) {
-		u.heldUntil = e.Until
+// pauseUpstream records that an upstream wants no requests for some time.
+func (n *Node) pauseUpstream(e UpstreamHeld) {
+	if u := n.upstream(e.ID); u != nil && u.Born == e.Born {
+		u.pause.Extend(e.Until)
 	}
 }
 
-// onHold reports whether the upstream wants no requests now.
-func (u *upstream) onHold(now time.Time) bool { return now.Before(u.heldUntil) }
-
-// holdLeft returns how long all upstreams of the pool want no requests, or 0 if one of
+// pauseLeft returns how long all upstreams of the pool want no requests, or 0 if one of
 // them accepts some.
-func (p *pool) holdLeft(now time.Time) time.Duration {
-	var shortest time.Duration
+func (p *pool) pauseLeft(now time.Time) time.Duration {
+	var pauses []health.Pause
 	for _, u := range p.upstreams {
-		switch left := u.heldUntil.Sub(now); {
-		case u.Draining:
-		case left <= 0:
-			return 0
-		case shortest == 0 || left < shortest:
-			shortest = left
+		if !u.Draining {
+			pauses = append(pauses, u.pause)
 		}
 	}
-	return shortest
+	return health.FirstEnd(now, pauses)
 }
 
 // setZoneWeights sets the weights of engines so that the engines of each zone together
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -103,7 +103,7 @@
 	case UpstreamsRegistered:
 		n.register(e.Upstreams)
 	case UpstreamHeld:
-		n.hold(e)
+		n.pauseUpstream(e)
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
 	case Stop:
@@ -159,7 +159,7 @@
 // asked for a pause in the meantime.
 func (n *Node) Usable(now time.Time, id string, born int64) bool {
 	u := n.upstream(id)
-	return u != nil && u.Born == born && !u.Draining && !u.onHold(now)
+	return u != nil && u.Born == born && !u.Draining && !u.pause.Active(now)
 }
 
 // upstream returns an upstream by its id, or nil.
