--- a/relay/stages.go
+++ b/relay/stages.go
@@ -30,15 +30,17 @@
 		if ok {
 			outcome = event
 		}
+		if ctx.Err() != nil || ok && !lacksWorker(event) {
+			return outcome
+		}
+		if !ok {
+			continue
+		}
 		next := s.zoneAfter(zone)
-		switch {
-		case ctx.Err() != nil:
+		if next == zone {
 			return outcome
-		case ok && (next == zone || !lacksWorker(event)):
-			return event
-		case ok:
-			zone = next
 		}
+		zone = next
 	}
 	return outcome
 }
