Log how long an upstream was silent and what ends an attempt

The lines "attempt failed", "cut" and "stream stalled" did not tell a connection that timed out from one that broke, nor how long nothing had come, nor what was left when an answer was cut.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -206,7 +206,8 @@
 		return
 	}
 	r.interrupted = n.allowRetry(now, r)
-	n.recordSince(now, r.sentAt, r, trace.StreamStalled, "", "attempt", e.Attempt, "upstream", r.upstream.ID, "resumes", r.interrupted)
+	n.recordSince(now, r.sentAt, r, trace.StreamStalled, "", "attempt", e.Attempt, "upstream", r.upstream.ID,
+		"resumes", r.interrupted, "last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
 	if r.interrupted {
 		n.emit(Interrupt{Number: r.Number, Attempt: e.Attempt})
 	}
@@ -240,8 +241,9 @@
 	if e.LastEventID != "" {
 		r.lastEventID = e.LastEventID
 	}
+	r.lastFailure = e.Failure
 	n.recordSince(now, r.sentAt, r, trace.AttemptFailed, "", "failure", string(e.Failure), "attempt", e.Attempt,
-		"upstream", u.ID)
+		"upstream", u.ID, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause, "last_event", r.lastEventID)
 	if e.Failure == Unreachable || e.Failure == ConnectTimeout || e.Failure == UpstreamUnusable {
 		if e.Failure != UpstreamUnusable {
 			u.markSuspect(now)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -79,6 +79,11 @@
 		Number  uint64
 		Attempt int
 		Failure Failure
+		// Silence is the time since the last bytes from the upstream, or since the
+		// request was sent.
+		Silence time.Duration
+		// Cause is the text of the error, or empty.
+		Cause string
 		// LastEventID is the ID of the last event forwarded to the client, or empty.
 		LastEventID string
 		// ResponseStarted is true if the client already has part of the response.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -82,6 +82,8 @@
 	// to the budget.
 	interrupted bool
 	lastEventID string
+	// lastFailure is how the last failed attempt ended, or empty.
+	lastFailure Failure
 }
 
 // A stageState is the progress of one stage.
@@ -302,7 +304,8 @@
 // abort aborts a response that the client has part of.
 func (n *Node) abort(now time.Time, r *request, reason Reason) {
 	n.counts.Cut++
-	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason)
+	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason, "attempts", r.attempt, "failure", string(r.lastFailure),
+		"last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
 	n.emit(Abort{Number: r.Number, Reason: reason})
 	n.end(r)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,19 +37,21 @@
 
 // send makes an attempt and handles the head of its answer.
 func (x *exchange) send(e proxy.Send) {
-	a, failure := x.startAttempt(e)
+	x.lastReceived = x.server.now()
+	a, failure, err := x.startAttempt(e)
 	if failure != "" {
 		if x.context.Err() != nil {
 			x.step(x.endEvent())
 			return
 		}
-		x.step(x.failureEvent(e.Attempt, failure))
+		x.step(x.failureEvent(e.Attempt, failure, err))
 		return
 	}
+	x.lastReceived = x.server.now()
 	id, head := x.server.protocol.ParseResponse(a.response)
 	if id != x.request.ID && !(head.NotExecuted && id == "") || head.Status/100 == 2 && !head.Sealed {
 		a.finish(false)
-		x.step(x.failureEvent(e.Attempt, proxy.ResponseMismatch))
+		x.step(x.failureEvent(e.Attempt, proxy.ResponseMismatch, nil))
 		return
 	}
 	x.answer = a
@@ -74,26 +76,34 @@
 	return false
 }
 
-func (x *exchange) failureEvent(attempt int, failure proxy.Failure) proxy.Event {
-	return proxy.AttemptFailed{Number: x.request.Number, Attempt: attempt, Failure: failure, LastEventID: x.lastEventID, ResponseStarted: x.headSent}
+// failureEvent returns the event of a failed attempt. The error may be nil.
+func (x *exchange) failureEvent(attempt int, failure proxy.Failure, err error) proxy.Event {
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	return proxy.AttemptFailed{
+		Number: x.request.Number, Attempt: attempt, Failure: failure, Silence: x.server.now().Sub(x.lastReceived), Cause: cause,
+		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
+	}
 }
 
 // startAttempt sends the request and reads the head of the answer.
-func (x *exchange) startAttempt(e proxy.Send) (*answer, proxy.Failure) {
+func (x *exchange) startAttempt(e proxy.Send) (*answer, proxy.Failure, error) {
 	ctx := x.context
 	c, err := x.server.connect(ctx, e.Upstream)
 	switch {
 	case errors.Is(err, errConnectTimeout):
-		return nil, proxy.ConnectTimeout
+		return nil, proxy.ConnectTimeout, err
 	case errors.Is(err, errUpstreamUnusable):
-		return nil, proxy.UpstreamUnusable
+		return nil, proxy.UpstreamUnusable, err
 	case err != nil:
-		return nil, proxy.Unreachable
+		return nil, proxy.Unreachable, err
 	}
 	r, err := x.newRequest(e)
 	if err != nil {
 		c.putBack(nil)
-		return nil, proxy.Unreachable
+		return nil, proxy.Unreachable, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	response, err := c.roundTrip(r, len(x.body), e.HeaderTimeout)
@@ -104,10 +114,10 @@
 		if isTimeout(err) {
 			failure = proxy.ResponseTimeout
 		}
-		return nil, failure
+		return nil, failure, err
 	}
 	x.server.observeNotice(e.Upstream, response)
-	return &answer{send: e, response: response, conn: c, stop: stop}, ""
+	return &answer{send: e, response: response, conn: c, stop: stop}, "", nil
 }
 
 // newRequest returns the request of an attempt. This package writes it to the
@@ -167,7 +177,7 @@
 	case x.context.Err() != nil && !whole:
 		x.step(x.endEvent())
 	case !whole:
-		x.step(x.failureEvent(a.send.Attempt, proxy.ConnectionFailed))
+		x.step(x.failureEvent(a.send.Attempt, proxy.ConnectionFailed, err))
 	default:
 		x.copyHeader(a)
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -199,6 +209,9 @@
 	for {
 		data, id, err := events.next()
 		watch.reset()
+		if err == nil {
+			x.lastReceived = x.server.now()
+		}
 		if err == io.EOF {
 			a.finish(true)
 			x.writeStreamHead(a)
@@ -253,5 +266,5 @@
 	if isTimeout(err) {
 		failure = proxy.ResponseTimeout
 	}
-	x.step(x.failureEvent(a.send.Attempt, failure))
+	x.step(x.failureEvent(a.send.Attempt, failure, err))
 }
--- a/relay/client.go
+++ b/relay/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"teaselplank/batch"
 	"teaselplank/proxy"
@@ -81,6 +82,9 @@
 	// lastEventID is the id of the last event that was written.
 	headSent    bool
 	lastEventID string
+	// lastReceived is when the last bytes of the current attempt arrived, or when it
+	// was sent.
+	lastReceived time.Time
 	// finished is true once the request has ended, and aborted if its answer was cut
 	// off.
 	finished bool
