--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -79,3 +79,21 @@
 		t.Errorf("answer is %d %q (%v), want 200 %q", r.status, r.body, r.err, want)
 	}
 }
+
+// A stream that broke off must not be ended like a complete one when its second attempt
+// gets an error.
+func TestTruncatedStreamLooksComplete(t *testing.T) {
+	d := deploy(t, 1)
+	d.setFaults(stand.ServiceEngine, stand.FaultTruncateStream)
+	answered := make(chan result, 1)
+	go func() { answered <- d.askAs(d.nodes[0], "truncated", stand.PathStream) }()
+	first := d.awaitRun("truncated", stand.ServiceEngine)
+	for _, w := range d.workers {
+		if w.Service == stand.ServiceEngine && w != first {
+			w.SetFault(stand.FaultServerError)
+		}
+	}
+	if r := <-answered; r.err == nil {
+		t.Errorf("truncated answer ends without an error: %d %q", r.status, r.body)
+	}
+}
