End a stream as cut when its second attempt gets an error

Callers saw an answer of a resumable stream that ended without an error after a part of its events. The host passed the second upstream's error on as if nothing had been sent yet: its body went behind the events, and the response was ended as whole. Once a client has part of a response, a head other than 200 now counts as a failed attempt: it is retried, or the answer is aborted.

TestTruncatedStreamLooksComplete failed before (200, two events of six, no error) and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -103,7 +103,7 @@
 	switch {
 	case e.Head.NotExecuted:
 		n.refused(now, r, u, e.Head.Status)
-	case e.Head.Status >= http.StatusInternalServerError:
+	case e.Head.Status >= http.StatusInternalServerError, r.responseStarted && e.Head.Status != http.StatusOK:
 		r.executions++
 		u.recordFailure()
 		if n.allowRetry(now, r) {
@@ -111,6 +111,11 @@
 			n.retry(now, r, "upstream returned an error")
 			return
 		}
+		if r.responseStarted {
+			// Only events can follow those that the client has.
+			n.fail(now, r, ReasonUpstreamFailed, 0)
+			return
+		}
 		n.deliver(r)
 	default:
 		r.executions++
