Keep a silent upstream's attempt open until another one goes on

Cause: a resumable stream without an event for 1.2 s was given up at once, and only then was anything done to replace it. Its stage results had been released at the first event, so all stages ran again; when the owner refused one as late, or the second upstream refused, broke or failed, nothing was left and the answer was cut, although the first upstream was sound and would have gone on. A safe request gave its first upstream up after 0.45 of its time in the same way, and was answered 502 or 500.

Change: a silent attempt is reported (AttemptStalled) and stays open as the request's stalled attempt while another one is prepared and made, within the same budget and limit of attempts. The one whose response goes on first is kept (for a plain request the first head), and the other one is cancelled at that moment. Whatever fails meanwhile returns the request to the stalled attempt instead of ending it. Attempts run in goroutines of their own and post what they read to the exchange; the timers of idle streams and of heads are one (relay/silence.go). Ruled out: a longer timeout alone, which still has no way back.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -24,6 +24,64 @@
 	minTimeLeft = 20 * time.Millisecond
 )
 
+// An attempt is one try to get the response of a request from an upstream.
+type attempt struct {
+	// number counts the attempts of a request from 1.
+	number   int
+	upstream *upstream
+	sentAt   time.Time
+	// pendingTokens is what the attempt adds to those of its upstream.
+	pendingTokens int
+	// executed is true if the executions of the request include the attempt.
+	executed bool
+	// responding is true once the response of the attempt is forwarded, and started once
+	// its first event has arrived.
+	responding bool
+	started    bool
+}
+
+// find returns the attempt with a number, or nil if it has ended.
+func (r *request) find(number int) *attempt {
+	if r == nil {
+		return nil
+	}
+	for _, a := range []*attempt{r.current, r.stalled} {
+		if a != nil && a.number == number {
+			return a
+		}
+	}
+	return nil
+}
+
+// setExecuted sets whether the executions of the request include an attempt.
+func (r *request) setExecuted(a *attempt, executed bool) {
+	if a.executed == executed {
+		return
+	}
+	a.executed = executed
+	if executed {
+		r.executions++
+	} else {
+		r.executions--
+	}
+}
+
+// endAttempt removes an attempt, which may be nil, from its request and from the load of
+// its upstream.
+func (n *Node) endAttempt(r *request, a *attempt) {
+	if a == nil {
+		return
+	}
+	a.upstream.inFlight--
+	a.upstream.pendingTokens -= a.pendingTokens
+	a.pendingTokens = 0
+	if a == r.stalled {
+		r.stalled = nil
+	} else {
+		r.current = nil
+	}
+}
+
 // send sends a request to an upstream, or ends it if it cannot be sent.
 func (n *Node) send(now time.Time, r *request) {
 	p := n.pools[r.service]
@@ -43,17 +101,17 @@
 	if !r.apply(transitionSend) {
 		return
 	}
-	if r.attempt == 0 {
+	if r.attempts == 0 {
 		p.retryBudget.AddRequest(n.config.Budget, now)
 	}
 	u := p.byID[chosen.ID]
-	r.attempt++
+	r.attempts++
 	r.tried = append(r.tried, u.ID)
-	r.upstream, r.sentAt, r.pendingTokens = u, now, r.PromptTokens
+	r.current = &attempt{number: r.attempts, upstream: u, sentAt: now, pendingTokens: r.PromptTokens}
 	u.inFlight++
-	u.pendingTokens += r.pendingTokens
+	u.pendingTokens += r.PromptTokens
 	n.counts.Sent++
-	n.record(r, trace.Sent, "", "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
+	n.record(r, trace.Sent, "", "attempt", r.attempts, "upstream", u.ID, "zone", u.Zone, "service", r.service,
 		"flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())
 	n.emit(n.sendEffect(now, r))
 }
@@ -72,7 +130,7 @@
 
 func (n *Node) sendEffect(now time.Time, r *request) Send {
 	s := Send{
-		Number: r.Number, Attempt: r.attempt, Upstream: r.upstream.Upstream, Route: r.route,
+		Number: r.Number, Attempt: r.current.number, Upstream: r.current.upstream.Upstream, Route: r.route,
 		Account: r.account, Engine: n.isEngine(r.service), Priority: min(basePriority+r.rank, maxPriority),
 		LastEventID: r.lastEventID, Deadline: r.deadline,
 	}
@@ -92,80 +150,112 @@
 // headReceived decides what to do with a response after its head has arrived.
 func (n *Node) headReceived(now time.Time, e HeadReceived) {
 	r := n.requests[e.Number]
-	if !r.isCurrent(e.Attempt) {
+	a := r.find(e.Attempt)
+	if a == nil {
 		return
 	}
-	u := r.upstream
+	u := a.upstream
 	u.lastResponse = now
 	if e.Head.Load != nil {
 		u.setLoad(now, *e.Head.Load)
 	}
-	switch {
-	case e.Head.NotExecuted:
-		n.refused(now, r, u, e.Head.Status)
-	case e.Head.Status >= http.StatusInternalServerError, r.responseStarted && e.Head.Status != http.StatusOK:
-		r.executions++
+	if e.Head.NotExecuted {
+		n.refused(now, r, a, e.Head.Status)
+		return
+	}
+	r.setExecuted(a, true)
+	if e.Head.Status >= http.StatusInternalServerError || r.responseStarted && e.Head.Status != http.StatusOK {
 		u.recordFailure()
-		if n.allowRetry(now, r) {
-			n.endAttempt(r)
-			n.retry(now, r, "upstream returned an error")
-			return
-		}
-		if r.responseStarted {
-			// Only events can follow those that the client has.
-			n.fail(now, r, ReasonUpstreamFailed, 0)
-			return
-		}
-		n.deliver(r)
-	default:
-		r.executions++
-		n.deliver(r)
+		n.errorReceived(now, r, a)
+		return
+	}
+	n.deliver(r, a)
+}
+
+// errorReceived retries a request after an upstream has returned an error. If that is
+// not possible, it forwards the error, unless a stalled attempt may still have a response
+// or the client already has part of one.
+func (n *Node) errorReceived(now time.Time, r *request, a *attempt) {
+	if a == r.stalled {
+		n.endAttempt(r, a) // Another attempt is being made.
+		return
 	}
+	if n.allowRetry(now, r) {
+		n.endAttempt(r, a)
+		n.retry(now, r, "upstream returned an error")
+		return
+	}
+	if r.stalled != nil || r.responseStarted {
+		n.endAttempt(r, a)
+		n.fail(now, r, ReasonUpstreamFailed, 0)
+		return
+	}
+	n.deliver(r, a)
 }
 
-func (n *Node) deliver(r *request) {
-	if r.apply(transitionDeliver) || r.status == statusResponding {
-		n.emit(Deliver{Number: r.Number, Attempt: r.attempt})
+// deliver forwards the response of an attempt. The events of a stream decide whether it
+// replaces a stalled attempt.
+func (n *Node) deliver(r *request, a *attempt) {
+	a.responding = true
+	if r.route.Kind != fleet.Stream {
+		n.choose(r, a)
+	}
+	if a == r.current && !r.apply(transitionDeliver) {
+		return
 	}
+	n.emit(Deliver{Number: r.Number, Attempt: a.number})
 }
 
 // refused handles a response which states that the upstream did not execute the
 // request.
-func (n *Node) refused(now time.Time, r *request, u *upstream, status int) {
-	switch status {
-	case http.StatusMisdirectedRequest:
+func (n *Node) refused(now time.Time, r *request, a *attempt, status int) {
+	u := a.upstream
+	wasStalled := a == r.stalled
+	r.setExecuted(a, false)
+	n.endAttempt(r, a)
+	switch {
+	case status == http.StatusMisdirectedRequest:
 		u.markSuspect(now)
-	case http.StatusConflict:
-		// A stage result that the request needs is lost.
-		n.endAttempt(r)
-		if r.restarts < maxRestarts {
-			r.tried = nil
-			n.restart(now, r)
-			return
-		}
-		n.fail(now, r, ReasonStageFailed, busyRetryAfter)
-		return
-	default:
+	case status != http.StatusConflict:
 		u.health.Hold(now.Add(refusalHold))
 	}
-	n.endAttempt(r)
+	if wasStalled {
+		return // Another attempt is being made.
+	}
+	if status == http.StatusConflict {
+		n.resultLost(now, r)
+		return
+	}
 	p := n.pools[r.service]
 	if p == nil {
 		n.fail(now, r, ReasonNoUpstream, upstreamRetryAfter)
 		return
 	}
-	if r.attempt >= maxAttempts || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
+	if r.attempts >= maxAttempts || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
 		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.pauseLeft(now)))
 		return
 	}
 	n.retry(now, r, "upstream refused")
 }
 
+// resultLost runs the stages again after a result that an upstream needs was lost.
+func (n *Node) resultLost(now time.Time, r *request) {
+	if r.restarts >= maxRestarts {
+		n.fail(now, r, ReasonStageFailed, busyRetryAfter)
+		return
+	}
+	r.tried = nil
+	if r.stalled != nil {
+		r.tried = []string{r.stalled.upstream.ID}
+	}
+	n.restart(now, r)
+}
+
 // allowRetry reports whether a request may be sent to another upstream after an
 // attempt that may have been executed. If so, it charges the retry to the budget.
 func (n *Node) allowRetry(now time.Time, r *request) bool {
 	p := n.pools[r.service]
-	if !r.route.Retryable() || r.executions >= r.route.Attempts || r.attempt >= maxAttempts || p == nil {
+	if !r.route.Retryable() || r.executions >= r.route.Attempts || r.attempts >= maxAttempts || p == nil {
 		return false
 	}
 	if len(p.candidates(now, r.tried)) == 0 {
@@ -179,57 +269,55 @@
 	if r.lastEventID != "" {
 		n.counts.Resumed++
 	}
-	n.record(r, trace.Retried, "", "cause", cause, "attempt", r.attempt, "last_event", r.lastEventID)
-	for _, s := range r.stages {
-		if s.released && r.route.Kind == fleet.Stream {
-			n.restart(now, r)
-			return
-		}
+	n.record(r, trace.Retried, "", "cause", cause, "attempt", r.attempts, "last_event", r.lastEventID)
+	if r.route.Kind == fleet.Stream && n.lacksResults(r) {
+		n.restart(now, r)
+		return
 	}
 	n.send(now, r)
 }
 
-func (n *Node) firstEvent(now time.Time, e FirstEvent) {
-	r := n.requests[e.Number]
-	if !r.isCurrent(e.Attempt) {
-		return
+// lacksResults reports whether results of the request's stages were released or are not
+// complete.
+func (n *Node) lacksResults(r *request) bool {
+	for i, s := range r.stages {
+		if s.released || r.pieces(i) > 0 && !s.done {
+			return true
+		}
 	}
-	r.upstream.pendingTokens -= r.pendingTokens
-	r.pendingTokens = 0
-	n.firstEventTimes[r.route.Name] = movingAverage(n.firstEventTimes[r.route.Name], now.Sub(r.sentAt))
-	n.recordSince(now, r.sentAt, r, trace.AnswerBegan, "", "attempt", e.Attempt,
-		"due_ms", r.due.Sub(now).Milliseconds())
-	n.releaseAll(r)
+	return false
 }
 
-// streamStalled ends an attempt whose stream has stalled if the stream may be resumed at
-// another upstream. Otherwise the upstream may only be slow, and aborting the stream would
-// lose what can still come.
-func (n *Node) streamStalled(now time.Time, e StreamStalled) {
+func (n *Node) firstEvent(now time.Time, e FirstEvent) {
 	r := n.requests[e.Number]
-	if !r.isCurrent(e.Attempt) || r.interrupted {
+	a := r.find(e.Attempt)
+	if a == nil || a.started {
 		return
 	}
-	r.interrupted = n.allowRetry(now, r)
-	n.recordSince(now, r.sentAt, r, trace.StreamStalled, "", "attempt", e.Attempt, "upstream", r.upstream.ID,
-		"resumes", r.interrupted, "last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
-	if r.interrupted {
-		n.emit(Interrupt{Number: r.Number, Attempt: e.Attempt})
-	}
+	n.choose(r, a)
+	a.started = true
+	a.upstream.pendingTokens -= a.pendingTokens
+	a.pendingTokens = 0
+	n.firstEventTimes[r.route.Name] = movingAverage(n.firstEventTimes[r.route.Name], now.Sub(a.sentAt))
+	n.recordSince(now, a.sentAt, r, trace.AnswerBegan, "", "attempt", e.Attempt,
+		"due_ms", r.due.Sub(now).Milliseconds())
+	n.releaseAll(r)
 }
 
 func (n *Node) finished(now time.Time, e Finished) {
 	r := n.requests[e.Number]
-	if !r.isCurrent(e.Attempt) {
+	a := r.find(e.Attempt)
+	if a == nil {
 		return
 	}
+	n.choose(r, a)
 	n.counts.Finished++
 	n.answerTimes[r.route.Name] = movingAverage(n.answerTimes[r.route.Name], now.Sub(r.arrived))
 	if e.Status < http.StatusInternalServerError {
-		r.upstream.recordSuccess(now, now.Sub(r.sentAt))
+		a.upstream.recordSuccess(now, now.Sub(a.sentAt))
 	}
-	n.recordSince(now, r.arrived, r, trace.Answered, ReasonAnswered, "status", e.Status, "attempts", r.attempt,
-		"upstream", r.upstream.ID, "due_ms", r.due.Sub(now).Milliseconds())
+	n.recordSince(now, r.arrived, r, trace.Answered, ReasonAnswered, "status", e.Status, "attempts", r.attempts,
+		"upstream", a.upstream.ID, "due_ms", r.due.Sub(now).Milliseconds())
 	n.end(r)
 }
 
@@ -237,40 +325,49 @@
 // response.
 func (n *Node) attemptFailed(now time.Time, e AttemptFailed) {
 	r := n.requests[e.Number]
-	if !r.isCurrent(e.Attempt) {
+	a := r.find(e.Attempt)
+	if a == nil {
 		return
 	}
-	u, interrupted := r.upstream, r.interrupted
-	n.endAttempt(r)
-	r.responseStarted = r.responseStarted || e.ResponseStarted
-	if e.LastEventID != "" {
-		r.lastEventID = e.LastEventID
-	}
+	wasStalled := a == r.stalled
+	n.endAttempt(r, a)
 	r.lastFailure = e.Failure
-	n.recordSince(now, r.sentAt, r, trace.AttemptFailed, "", "failure", string(e.Failure), "attempt", e.Attempt,
-		"upstream", u.ID, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause, "last_event", r.lastEventID)
-	if e.Failure == Unreachable || e.Failure == ConnectTimeout || e.Failure == UpstreamUnusable {
-		if e.Failure != UpstreamUnusable {
-			u.markSuspect(now)
-		}
-		if e.Failure == ConnectTimeout {
-			n.markZoneSuspect(now, u.Zone)
-		}
-		if r.attempt < maxAttempts {
-			n.retry(now, r, string(e.Failure))
-			return
-		}
+	r.noteProgress(e.LastEventID, e.ResponseStarted)
+	n.recordSince(now, a.sentAt, r, trace.AttemptFailed, "", "failure", string(e.Failure), "attempt", e.Attempt,
+		"upstream", a.upstream.ID, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause, "last_event", r.lastEventID)
+	if e.Failure.Unsent() {
+		r.setExecuted(a, false)
+		n.suspectUnreachable(now, a.upstream, e.Failure)
+	} else {
+		r.outcomeUnknown = true
+		r.setExecuted(a, true)
+		a.upstream.recordFailure()
+	}
+	switch {
+	case wasStalled:
+		// Another attempt is being made.
+	case e.Failure.Unsent() && r.attempts < maxAttempts, !e.Failure.Unsent() && n.allowRetry(now, r):
+		n.retry(now, r, string(e.Failure))
+	default:
 		n.fail(now, r, ReasonUpstreamFailed, busyRetryAfter)
-		return
 	}
-	r.outcomeUnknown = true
-	if r.status == statusSending {
-		r.executions++
+}
+
+// suspectUnreachable marks an upstream that could not be reached, and its zone if that
+// may be cut off.
+func (n *Node) suspectUnreachable(now time.Time, u *upstream, f Failure) {
+	if f != UpstreamUnusable {
+		u.markSuspect(now)
 	}
-	u.recordFailure()
-	if interrupted || n.allowRetry(now, r) {
-		n.retry(now, r, string(e.Failure))
-		return
+	if f == ConnectTimeout {
+		n.markZoneSuspect(now, u.Zone)
+	}
+}
+
+// noteProgress records what the client has of the response.
+func (r *request) noteProgress(lastEventID string, responseStarted bool) {
+	r.responseStarted = r.responseStarted || responseStarted
+	if lastEventID != "" {
+		r.lastEventID = lastEventID
 	}
-	n.fail(now, r, ReasonUpstreamFailed, busyRetryAfter)
 }
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -63,10 +63,23 @@
 		Number  uint64
 		Attempt int
 	}
-	// StreamStalled reports that a stream has sent no event for longer than usual.
-	StreamStalled struct {
+	// AttemptStalled reports that an upstream has sent nothing for longer than usual: no
+	// head, or no event of a stream that may be resumed.
+	AttemptStalled struct {
 		Number  uint64
 		Attempt int
+		// Silence is the time since the upstream last sent something.
+		Silence time.Duration
+		// LastEventID and ResponseStarted are those of AttemptFailed.
+		LastEventID     string
+		ResponseStarted bool
+	}
+	// AttemptContinued reports that an upstream has sent something again after
+	// AttemptStalled was reported.
+	AttemptContinued struct {
+		Number  uint64
+		Attempt int
+		Silence time.Duration
 	}
 	// Finished reports that the client has the complete response.
 	Finished struct {
@@ -122,7 +135,8 @@
 func (StageFailed) ProxyEvent()         {}
 func (HeadReceived) ProxyEvent()        {}
 func (FirstEvent) ProxyEvent()          {}
-func (StreamStalled) ProxyEvent()       {}
+func (AttemptStalled) ProxyEvent()      {}
+func (AttemptContinued) ProxyEvent()    {}
 func (Finished) ProxyEvent()            {}
 func (AttemptFailed) ProxyEvent()       {}
 func (ClientDisconnected) ProxyEvent()  {}
@@ -171,6 +185,11 @@
 	ResponseTimeout Failure = "silent"
 )
 
+// Unsent reports whether nothing was sent to the upstream.
+func (f Failure) Unsent() bool {
+	return f == Unreachable || f == ConnectTimeout || f == UpstreamUnusable
+}
+
 // An Effect is an output of the reducer.
 type Effect interface{ ProxyEffect() }
 
@@ -198,19 +217,18 @@
 		LastEventID string
 		// Deadline is the time after which the response is of no use.
 		Deadline time.Time
-		// HeaderTimeout bounds the wait for the head of the response; 0 means no
-		// bound.
+		// HeaderTimeout is how long the head of the response may take before
+		// AttemptStalled is to be reported; 0 means as long as it likes.
 		HeaderTimeout time.Duration
 	}
-	// Deliver requests that the response of the current attempt be forwarded to the
-	// client.
+	// Deliver requests that the response of an attempt be forwarded to the client.
 	Deliver struct {
 		Number  uint64
 		Attempt int
 	}
-	// Interrupt requests that the current attempt be ended, so that a stalled stream
-	// can be resumed at another upstream. Without it, the node keeps waiting.
-	Interrupt struct {
+	// Cancel requests that an attempt be ended, since the response of another one goes
+	// on.
+	Cancel struct {
 		Number  uint64
 		Attempt int
 	}
@@ -246,7 +264,7 @@
 func (RunStage) ProxyEffect()       {}
 func (Send) ProxyEffect()           {}
 func (Deliver) ProxyEffect()        {}
-func (Interrupt) ProxyEffect()      {}
+func (Cancel) ProxyEffect()         {}
 func (Reply) ProxyEffect()          {}
 func (Abort) ProxyEffect()          {}
 func (Release) ProxyEffect()        {}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -88,8 +88,10 @@
 		n.headReceived(now, e)
 	case FirstEvent:
 		n.firstEvent(now, e)
-	case StreamStalled:
-		n.streamStalled(now, e)
+	case AttemptStalled:
+		n.attemptStalled(now, e)
+	case AttemptContinued:
+		n.attemptContinued(now, e)
 	case Finished:
 		n.finished(now, e)
 	case AttemptFailed:
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -38,7 +38,7 @@
 var machine = state.New("request",
 	state.Transition[status, transition]{Event: transitionStage, From: []status{statusStaging, statusSending, statusResponding}, To: statusStaging},
 	state.Transition[status, transition]{Event: transitionSend, From: []status{statusStaging, statusSending, statusResponding}, To: statusSending},
-	state.Transition[status, transition]{Event: transitionDeliver, From: []status{statusSending}, To: statusResponding},
+	state.Transition[status, transition]{Event: transitionDeliver, From: []status{statusStaging, statusSending, statusResponding}, To: statusResponding},
 	state.Transition[status, transition]{Event: transitionEnd, From: []status{statusStaging, statusSending, statusResponding}, To: statusEnded},
 )
 
@@ -62,26 +62,24 @@
 	dataZone string
 	// restarts is the number of times that the stages were run again.
 	restarts int
-	// attempt is the number of the current attempt, counted from 1. executions is the
-	// number of attempts that an upstream may have executed.
-	attempt    int
+	// attempts is the number of attempts made, and executions the number of those that an
+	// upstream may have executed.
+	attempts   int
 	executions int
 	// tried lists the upstreams that attempts were made at.
 	tried []string
-	// upstream is the upstream of the current attempt, or nil if there is none. The
-	// attempt was sent at sentAt.
-	upstream      *upstream
-	sentAt        time.Time
-	pendingTokens int
+	// current is the newest attempt, or nil if it has ended or none was made.
+	current *attempt
+	// stalled is an attempt whose upstream is silent, or nil. It stays open until the
+	// response of another attempt goes on, so that the request can return to it. No
+	// response of another attempt goes on while it is set.
+	stalled *attempt
 	// outcomeUnknown is true if an attempt without a complete response may have been
 	// executed.
 	outcomeUnknown bool
 	// responseStarted is true once the client has part of a response.
 	responseStarted bool
-	// interrupted is true if the current attempt stalled and its retry has been charged
-	// to the budget.
-	interrupted bool
-	lastEventID string
+	lastEventID     string
 	// lastFailure is how the last failed attempt ended, or empty.
 	lastFailure Failure
 }
@@ -114,11 +112,6 @@
 	return 0
 }
 
-// isCurrent reports whether an attempt is the current one.
-func (r *request) isCurrent(attempt int) bool {
-	return r != nil && r.upstream != nil && r.attempt == attempt
-}
-
 // The default delays after which clients are asked to retry.
 const (
 	configRetryAfter   = 500 * time.Millisecond
@@ -213,10 +206,15 @@
 	return now.Add(time.Duration(stopSafetyFactor * float64(expected))).After(n.stopBy)
 }
 
-// fail ends a request without a complete response. If an attempt without a complete
+// fail ends a request without a complete response, unless a stalled attempt may still
+// have one. If an attempt without a complete
 // response may have been executed, the reply is a 502, since a 503 tells the client that
 // the request was not executed.
 func (n *Node) fail(now time.Time, r *request, reason Reason, retryAfter time.Duration) {
+	if r.stalled != nil {
+		n.returnToStalled(r, reason)
+		return
+	}
 	if r.responseStarted {
 		n.abort(now, r, reason)
 		return
@@ -237,7 +235,7 @@
 	}
 	n.counts.Replies[reason]++
 	n.recordSince(now, r.arrived, r, trace.Replied, reason, "status", status, "retry_after_ms", retryAfter.Milliseconds(),
-		"attempts", r.attempt, "version", n.version())
+		"attempts", r.attempts, "version", n.version())
 	n.emit(Reply{Number: r.Number, Status: status, Reason: reason, RetryAfter: retryAfter})
 	n.end(r)
 }
@@ -252,7 +250,8 @@
 // end removes a request and releases everything that it holds.
 func (n *Node) end(r *request) {
 	r.apply(transitionEnd)
-	n.endAttempt(r)
+	n.endAttempt(r, r.current)
+	n.endAttempt(r, r.stalled)
 	if r.route != nil {
 		n.withdraw(r)
 		n.releaseAll(r)
@@ -260,17 +259,6 @@
 	delete(n.requests, r.Number)
 }
 
-// endAttempt removes the current attempt from the load of its upstream.
-func (n *Node) endAttempt(r *request) {
-	if r.upstream == nil {
-		return
-	}
-	r.upstream.inFlight--
-	r.upstream.pendingTokens -= r.pendingTokens
-	r.pendingTokens = 0
-	r.upstream, r.interrupted = nil, false
-}
-
 func (n *Node) clientDisconnected(now time.Time, number uint64) {
 	r := n.requests[number]
 	if r == nil {
@@ -294,7 +282,7 @@
 		n.abort(now, r, reason)
 		return
 	}
-	if r.outcomeUnknown || r.upstream != nil {
+	if r.outcomeUnknown || r.current != nil || r.stalled != nil {
 		n.reply(now, r, http.StatusGatewayTimeout, reason, 0)
 		return
 	}
@@ -304,7 +292,7 @@
 // abort aborts a response that the client has part of.
 func (n *Node) abort(now time.Time, r *request, reason Reason) {
 	n.counts.Cut++
-	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason, "attempts", r.attempt, "failure", string(r.lastFailure),
+	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason, "attempts", r.attempts, "failure", string(r.lastFailure),
 		"last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
 	n.emit(Abort{Number: r.Number, Reason: reason})
 	n.end(r)
--- a/proxy/stages.go
+++ b/proxy/stages.go
@@ -85,6 +85,7 @@
 func (n *Node) stageDone(now time.Time, e StageDone) {
 	r := n.requests[e.Number]
 	if r == nil || r.status != statusStaging || r.stages[e.Stage].done {
+		n.emit(Release{Results: e.Results})
 		return
 	}
 	s := &r.stages[e.Stage]
--- /dev/null
+++ b/proxy/stall.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"time"
+
+	"teaselplank/trace"
+)
+
+// attemptStalled makes another attempt at a request whose upstream is silent, if the
+// request may be retried. The upstream may be sound and go on, so the stalled attempt
+// stays open meanwhile: the one whose response goes on first is chosen, and if the other
+// attempt fails, or its stages do, the request returns to the stalled one.
+func (n *Node) attemptStalled(now time.Time, e AttemptStalled) {
+	r := n.requests[e.Number]
+	a := r.find(e.Attempt)
+	if a == nil || r.stalled != nil {
+		return
+	}
+	r.setExecuted(a, true)
+	r.noteProgress(e.LastEventID, e.ResponseStarted)
+	retries := n.allowRetry(now, r)
+	n.recordSince(now, a.sentAt, r, trace.AttemptStalled, "", "attempt", e.Attempt, "upstream", a.upstream.ID,
+		"silent_ms", e.Silence.Milliseconds(), "retries", retries, "last_event", r.lastEventID,
+		"left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
+	if !retries {
+		return
+	}
+	r.stalled, r.current = a, nil
+	n.retry(now, r, "silent")
+}
+
+// attemptContinued handles the end of an upstream's silence.
+func (n *Node) attemptContinued(now time.Time, e AttemptContinued) {
+	r := n.requests[e.Number]
+	a := r.find(e.Attempt)
+	if a == nil {
+		return
+	}
+	n.recordSince(now, a.sentAt, r, trace.AttemptContinued, "", "attempt", e.Attempt, "upstream", a.upstream.ID,
+		"silent_ms", e.Silence.Milliseconds(), "replaces", r.stalled == a && r.current != nil)
+	n.choose(r, a)
+}
+
+// choose keeps an attempt, whose response goes on, and cancels the other one, if any.
+func (n *Node) choose(r *request, a *attempt) {
+	if a == r.stalled {
+		n.cancel(r, r.current)
+		n.returnToStalled(r, "")
+		return
+	}
+	if r.stalled != nil {
+		r.outcomeUnknown = true
+		r.stalled.upstream.recordFailure()
+		n.cancel(r, r.stalled)
+	}
+}
+
+// cancel ends an attempt, which may be nil, without waiting for its response.
+func (n *Node) cancel(r *request, a *attempt) {
+	if a == nil {
+		return
+	}
+	n.emit(Cancel{Number: r.Number, Attempt: a.number})
+	n.endAttempt(r, a)
+}
+
+// returnToStalled makes the stalled attempt the current one again, after no other attempt
+// could take its place for the given reason or because it goes on.
+func (n *Node) returnToStalled(r *request, reason Reason) {
+	n.withdraw(r)
+	a := r.stalled
+	if a.started {
+		n.releaseAll(r)
+	}
+	r.current, r.stalled = a, nil
+	if reason != "" {
+		n.record(r, trace.Awaited, reason, "attempt", a.number, "upstream", a.upstream.ID)
+	}
+	if a.responding {
+		r.apply(transitionDeliver)
+		return
+	}
+	r.apply(transitionSend)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,116 +8,152 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 
 	"teaselplank/fleet"
 	"teaselplank/proxy"
 )
 
-// An answer is an upstream's answer after its head was read.
-type answer struct {
+// An attempt is one try to get the answer of a request from an upstream. A goroutine of
+// its own connects, sends and reads, and passes what it reads to the exchange.
+type attempt struct {
+	exchange *exchange
 	send     proxy.Send
-	response *http.Response
+	// cancel ends the attempt and closes its connection.
+	cancel   context.CancelFunc
 	conn     *conn
-	// stop keeps the end of the context from closing the connection. It returns false
-	// if the context has already ended and closed the connection.
-	stop func() bool
-}
-
-// finish returns the connection to the pool if the whole answer was read, and closes
-// it otherwise.
-func (a *answer) finish(whole bool) {
-	if !a.stop() || !whole || a.response.Close {
-		a.conn.Close()
-		return
-	}
-	a.conn.putBack(a.response.Header)
+	response *http.Response
+	// stopClosing keeps cancel from closing the connection. It returns false if the
+	// connection was closed already.
+	stopClosing func() bool
+
+	// Only the exchange's goroutine uses the fields below.
+	silence silenceTimer
+	// delivers is true once the answer is to be passed on, and started once its first
+	// event was.
+	delivers bool
+	started  bool
 }
 
-// send makes an attempt and handles the head of its answer.
-func (x *exchange) send(e proxy.Send) {
-	x.lastReceived = x.server.now()
-	a, failure, err := x.startAttempt(e)
-	if failure != "" {
-		if x.context.Err() != nil {
-			x.step(x.endEvent())
-			return
-		}
-		x.step(x.failureEvent(e.Attempt, failure, err))
+// run makes the attempt.
+func (t *attempt) run(ctx context.Context) {
+	defer t.cancel()
+	x := t.exchange
+	if failure, err := t.open(ctx); failure != "" {
+		x.post(func() { x.attemptFailed(t, failure, err) })
 		return
 	}
-	x.lastReceived = x.server.now()
-	id, head := x.server.protocol.ParseResponse(a.response)
+	id, head := x.server.protocol.ParseResponse(t.response)
 	if id != x.request.ID && !(head.NotExecuted && id == "") || head.Status/100 == 2 && !head.Sealed {
-		a.finish(false)
-		x.step(x.failureEvent(e.Attempt, proxy.ResponseMismatch, nil))
+		t.finish(false)
+		x.post(func() { x.attemptFailed(t, proxy.ResponseMismatch, nil) })
 		return
 	}
-	x.answer = a
-	effects := x.server.step(proxy.HeadReceived{Number: e.Number, Attempt: e.Attempt, Head: head})
-	if !delivers(effects) {
-		_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes))
-		a.finish(err == nil)
-		x.answer = nil
+	switch ok := x.call(func() { x.headReceived(t, head) }); {
+	case !ok:
+		t.finish(false)
+	case !t.delivers:
+		_, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxDiscardBytes))
+		t.finish(err == nil)
+	case t.isStream():
+		t.readEvents()
+	default:
+		t.readBody()
 	}
-	x.perform(effects)
 }
 
 // maxDiscardBytes bounds what is read of an answer that is not passed on.
 const maxDiscardBytes = 64 << 10
 
-func delivers(effects []proxy.Effect) bool {
-	for _, e := range effects {
-		if _, ok := e.(proxy.Deliver); ok {
-			return true
-		}
-	}
-	return false
-}
-
-// failureEvent returns the event of a failed attempt. The error may be nil.
-func (x *exchange) failureEvent(attempt int, failure proxy.Failure, err error) proxy.Event {
-	cause := ""
-	if err != nil {
-		cause = err.Error()
-	}
-	return proxy.AttemptFailed{
-		Number: x.request.Number, Attempt: attempt, Failure: failure, Silence: x.server.now().Sub(x.lastReceived), Cause: cause,
-		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
-	}
-}
-
-// startAttempt sends the request and reads the head of the answer.
-func (x *exchange) startAttempt(e proxy.Send) (*answer, proxy.Failure, error) {
-	ctx := x.context
-	c, err := x.server.connect(ctx, e.Upstream)
+// open sends the request and reads the head of the answer.
+func (t *attempt) open(ctx context.Context) (proxy.Failure, error) {
+	x := t.exchange
+	c, err := x.server.connect(ctx, t.send.Upstream)
 	switch {
 	case errors.Is(err, errConnectTimeout):
-		return nil, proxy.ConnectTimeout, err
+		return proxy.ConnectTimeout, err
 	case errors.Is(err, errUpstreamUnusable):
-		return nil, proxy.UpstreamUnusable, err
+		return proxy.UpstreamUnusable, err
 	case err != nil:
-		return nil, proxy.Unreachable, err
+		return proxy.Unreachable, err
+	}
+	r, err := x.newRequest(t.send)
+	if err == nil {
+		err = ctx.Err()
 	}
-	r, err := x.newRequest(e)
 	if err != nil {
 		c.putBack(nil)
-		return nil, proxy.Unreachable, err
+		return proxy.Unreachable, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	response, err := c.roundTrip(r, len(x.body), e.HeaderTimeout)
+	response, err := c.roundTrip(r, len(x.body), 0)
 	if err != nil {
 		stop()
 		c.Close()
-		failure := proxy.ConnectionFailed
-		if isTimeout(err) {
-			failure = proxy.ResponseTimeout
+		return readFailure(err), err
+	}
+	x.server.observeNotice(t.send.Upstream, response)
+	t.conn, t.response, t.stopClosing = c, response, stop
+	return "", nil
+}
+
+// readFailure returns the failure of an attempt whose connection has failed.
+func readFailure(err error) proxy.Failure {
+	if isTimeout(err) {
+		return proxy.ResponseTimeout
+	}
+	return proxy.ConnectionFailed
+}
+
+// finish returns the connection to the pool if the whole answer was read, and closes
+// it otherwise.
+func (t *attempt) finish(whole bool) {
+	if !t.stopClosing() || !whole || t.response.Close {
+		t.conn.Close()
+		return
+	}
+	t.conn.putBack(t.response.Header)
+}
+
+func (t *attempt) isStream() bool {
+	return t.send.Route.Kind == fleet.Stream && t.response.StatusCode == http.StatusOK
+}
+
+// readEvents passes events on as they arrive, each of them whole.
+func (t *attempt) readEvents() {
+	x := t.exchange
+	events := newEventReader(t.response.Body, t.send.LastEventID)
+	for {
+		data, id, err := events.next()
+		if err != nil {
+			t.finish(err == io.EOF)
+		}
+		ok := x.post(func() { x.eventsRead(t, data, id, err) })
+		if err != nil {
+			return
+		}
+		if !ok {
+			t.finish(false)
+			return
 		}
-		return nil, failure, err
 	}
-	x.server.observeNotice(e.Upstream, response)
-	return &answer{send: e, response: response, conn: c, stop: stop}, "", nil
+}
+
+// maxAnswerBytes bounds an answer that is not a stream.
+const maxAnswerBytes = 16 << 20
+
+// errAnswerTooLong means that an answer exceeds maxAnswerBytes.
+var errAnswerTooLong = errors.New("answer is too long")
+
+// readBody passes the body on once it is complete.
+func (t *attempt) readBody() {
+	x := t.exchange
+	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	t.finish(err == nil)
+	x.post(func() { x.bodyRead(t, body, err) })
 }
 
 // newRequest returns the request of an attempt. This package writes it to the
@@ -149,9 +185,9 @@
 }
 
 // copyHeader copies the headers of an upstream's answer to the client's.
-func (x *exchange) copyHeader(a *answer) {
+func (x *exchange) copyHeader(t *attempt) {
 	h := x.writer.Header()
-	for name, values := range a.response.Header {
+	for name, values := range t.response.Header {
 		h[name] = values
 	}
 	for _, name := range hopHeaders {
@@ -161,110 +197,3 @@
 		h.Set("Connection", "close")
 	}
 }
-
-// deliver passes the answer on to the client.
-func (x *exchange) deliver() {
-	a := x.answer
-	x.answer = nil
-	if a.send.Route.Kind == fleet.Stream && a.response.StatusCode == http.StatusOK {
-		x.stream(a)
-		return
-	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes+1))
-	whole := err == nil && len(body) <= maxAnswerBytes
-	a.finish(whole)
-	switch {
-	case x.context.Err() != nil && !whole:
-		x.step(x.endEvent())
-	case !whole:
-		x.step(x.failureEvent(a.send.Attempt, proxy.ConnectionFailed, err))
-	default:
-		x.copyHeader(a)
-		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		x.writer.WriteHeader(a.response.StatusCode)
-		// If the write fails, the client has disconnected.
-		_, _ = x.writer.Write(body)
-		x.reportFinished(a)
-	}
-}
-
-// maxAnswerBytes bounds an answer that is not a stream.
-const maxAnswerBytes = 16 << 20
-
-func (x *exchange) reportFinished(a *answer) {
-	x.finished = true
-	x.step(proxy.Finished{Number: x.request.Number, Attempt: a.send.Attempt, Status: a.response.StatusCode})
-}
-
-// stream passes events on as they arrive, each of them whole.
-func (x *exchange) stream(a *answer) {
-	events := newEventReader(a.response.Body, x.lastEventID)
-	flush := http.NewResponseController(x.writer)
-	started := false
-	var watch *idleWatch
-	if a.send.Route.Resumable {
-		watch = x.watchIdle(a)
-		defer watch.stop()
-	}
-	for {
-		data, id, err := events.next()
-		watch.reset()
-		if err == nil {
-			x.lastReceived = x.server.now()
-		}
-		if err == io.EOF {
-			a.finish(true)
-			x.writeStreamHead(a)
-			x.reportFinished(a)
-			return
-		}
-		if err != nil {
-			a.finish(false)
-			x.streamFailed(a, err)
-			return
-		}
-		if !started {
-			started = true
-			x.step(proxy.FirstEvent{Number: x.request.Number, Attempt: a.send.Attempt})
-		}
-		x.writeStreamHead(a)
-		if !x.writeEvents(data, flush) {
-			// The client's connection has failed; end the exchange.
-			x.cancel()
-		}
-		if id != "" {
-			x.lastEventID = id
-		}
-	}
-}
-
-// writeEvents writes events to the client and reports whether that succeeded.
-func (x *exchange) writeEvents(data []byte, flush *http.ResponseController) bool {
-	if _, err := x.writer.Write(data); err != nil {
-		return false
-	}
-	return flush.Flush() == nil
-}
-
-// writeStreamHead writes the head of a stream's answer, once.
-func (x *exchange) writeStreamHead(a *answer) {
-	if x.headSent {
-		return
-	}
-	x.headSent = true
-	x.copyHeader(a)
-	x.writer.Header().Del("Content-Length")
-	x.writer.WriteHeader(a.response.StatusCode)
-}
-
-func (x *exchange) streamFailed(a *answer, err error) {
-	if x.context.Err() != nil {
-		x.step(x.endEvent())
-		return
-	}
-	failure := proxy.ConnectionFailed
-	if isTimeout(err) {
-		failure = proxy.ResponseTimeout
-	}
-	x.step(x.failureEvent(a.send.Attempt, failure, err))
-}
--- a/relay/client.go
+++ b/relay/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"teaselplank/batch"
 	"teaselplank/proxy"
@@ -28,7 +27,10 @@
 		return
 	}
 	q.Number = s.lastNumber.Add(1)
-	x := &exchange{server: s, writer: w, httpRequest: r, body: body, request: q, events: make(chan proxy.Event), stageCancels: make(map[int]context.CancelFunc)}
+	x := &exchange{
+		server: s, writer: w, httpRequest: r, body: body, request: q,
+		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
+	}
 	x.run()
 }
 
@@ -59,8 +61,8 @@
 }
 
 // An exchange is one request of a client from its arrival to its final answer. Only
-// the handler's goroutine uses it. Stages run in other goroutines, which send their
-// outcomes to events.
+// the handler's goroutine uses it. Stages and attempts run in goroutines of their own,
+// which post functions to be run by the handler's.
 type exchange struct {
 	server      *Server
 	writer      http.ResponseWriter
@@ -73,18 +75,17 @@
 	context   context.Context
 	cancel    context.CancelFunc
 	stopTimer context.CancelFunc
-	events    chan proxy.Event
+	// inbox receives the functions to run, and ended is closed once none runs any more.
+	inbox chan func()
+	ended chan struct{}
+	// attempts holds the attempts in progress by number.
+	attempts map[int]*attempt
 	// stageCancels cancels the stages that were started.
 	stageCancels map[int]context.CancelFunc
-	// answer is the answer of the current attempt, or nil.
-	answer *answer
 	// headSent is true once the head of a stream's answer was written, and
 	// lastEventID is the id of the last event that was written.
 	headSent    bool
 	lastEventID string
-	// lastReceived is when the last bytes of the current attempt arrived, or when it
-	// was sent.
-	lastReceived time.Time
 	// finished is true once the request has ended, and aborted if its answer was cut
 	// off.
 	finished bool
@@ -95,16 +96,15 @@
 func (x *exchange) run() {
 	x.context, x.cancel = context.WithCancel(x.httpRequest.Context())
 	x.stopTimer = x.cancel
-	defer x.cancel()
-	defer func() { x.stopTimer() }()
+	defer x.close()
 	defer context.AfterFunc(x.server.requests, x.cancel)()
 	x.step(proxy.RequestArrived{Request: x.request})
 	for !x.finished {
 		select {
-		case e := <-x.events:
-			x.step(e)
+		case f := <-x.inbox:
+			f()
 		case <-x.context.Done():
-			x.step(x.endEvent())
+			x.finishLate()
 		}
 	}
 	if x.aborted {
@@ -113,6 +113,48 @@
 	}
 }
 
+// close ends all that still runs for the request.
+func (x *exchange) close() {
+	close(x.ended)
+	for _, t := range x.attempts {
+		t.silence.stop()
+	}
+	x.stopTimer()
+	x.cancel()
+}
+
+// finishLate handles the end of the context. What has already arrived goes first, such as
+// the rest of an answer.
+func (x *exchange) finishLate() {
+	select {
+	case f := <-x.inbox:
+		f()
+	default:
+		x.step(x.endEvent())
+	}
+}
+
+// post hands a function to the exchange's goroutine. It returns false if the exchange has
+// ended instead.
+func (x *exchange) post(f func()) bool {
+	select {
+	case x.inbox <- f:
+		return true
+	case <-x.ended:
+		return false
+	}
+}
+
+// call is like post and waits until the function has returned.
+func (x *exchange) call(f func()) bool {
+	done := make(chan struct{})
+	if !x.post(func() { defer close(done); f() }) {
+		return false
+	}
+	<-done
+	return true
+}
+
 // endEvent returns the event for a context that is done.
 func (x *exchange) endEvent() proxy.Event {
 	if x.httpRequest.Context().Err() != nil {
@@ -139,7 +181,9 @@
 		case proxy.Send:
 			x.send(e)
 		case proxy.Deliver:
-			x.deliver()
+			x.deliver(e.Attempt)
+		case proxy.Cancel:
+			x.cancelAttempt(e.Attempt)
 		case proxy.Reply:
 			x.reply(e)
 		case proxy.Abort:
@@ -161,7 +205,7 @@
 			return
 		}
 		select {
-		case x.events <- event:
+		case x.inbox <- func() { x.step(event) }:
 		case <-ctx.Done():
 			x.server.discard(event)
 		}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -245,12 +245,6 @@
 	}
 }
 
-// interrupt ends the current read with a timeout.
-func (c *conn) interrupt() {
-	// Setting a deadline fails only on a closed connection, whose read ends anyway.
-	_ = c.SetReadDeadline(expired)
-}
-
 // isTimeout reports whether an operation on a connection timed out.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -17,8 +17,12 @@
 	Sent          Decision = "send"
 	AttemptFailed Decision = "attempt failed"
 	Retried       Decision = "repeat"
-	// StreamStalled means that a resumable stream sent no event for longer than usual.
-	StreamStalled Decision = "stream stalled"
+	// AttemptStalled means that an upstream has been silent for longer than usual,
+	// AttemptContinued that it sent something after that, and Awaited that the request
+	// waits for it because no other attempt could take its place.
+	AttemptStalled   Decision = "attempt stalled"
+	AttemptContinued Decision = "attempt continued"
+	Awaited          Decision = "awaited"
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
@@ -43,7 +47,7 @@
 // All returns all decisions.
 func All() []Decision {
 	return []Decision{
-		Admitted, Sent, AttemptFailed, Retried, StreamStalled, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
+		Admitted, Sent, AttemptFailed, Retried, AttemptStalled, AttemptContinued, Awaited, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
 		StageAdmitted, StageRefused, OwnerFailed,
 	}
 }
