Answer 502 rather than 503 after an upstream has returned an error

Callers could be told "not run" (503) although an upstream had run the request: it answered 500, the retry was allowed, and the upstreams after it refused until none was left. Only attempts without a response were remembered as possibly executed. Found by the property test of stalled attempts: refused, error, refused in this order. Whether a request may have been executed now follows from one figure, the executions, which refusals do not count towards and all else does.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -339,7 +339,6 @@
 		r.setExecuted(a, false)
 		n.suspectUnreachable(now, a.upstream, e.Failure)
 	} else {
-		r.outcomeUnknown = true
 		r.setExecuted(a, true)
 		a.upstream.recordFailure()
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -74,9 +74,6 @@
 	// response of another attempt goes on, so that the request can return to it. No
 	// response of another attempt goes on while it is set.
 	stalled *attempt
-	// outcomeUnknown is true if an attempt without a complete response may have been
-	// executed.
-	outcomeUnknown bool
 	// responseStarted is true once the client has part of a response.
 	responseStarted bool
 	lastEventID     string
@@ -207,9 +204,8 @@
 }
 
 // fail ends a request without a complete response, unless a stalled attempt may still
-// have one. If an attempt without a complete
-// response may have been executed, the reply is a 502, since a 503 tells the client that
-// the request was not executed.
+// have one. If an attempt may have been executed, the reply is a 502, since a 503 tells the
+// client that the request was not executed.
 func (n *Node) fail(now time.Time, r *request, reason Reason, retryAfter time.Duration) {
 	if r.stalled != nil {
 		n.returnToStalled(r, reason)
@@ -219,7 +215,7 @@
 		n.abort(now, r, reason)
 		return
 	}
-	if r.outcomeUnknown {
+	if r.executions > 0 {
 		n.reply(now, r, http.StatusBadGateway, reason, 0)
 		return
 	}
@@ -282,7 +278,7 @@
 		n.abort(now, r, reason)
 		return
 	}
-	if r.outcomeUnknown || r.current != nil || r.stalled != nil {
+	if r.executions > 0 || r.current != nil || r.stalled != nil {
 		n.reply(now, r, http.StatusGatewayTimeout, reason, 0)
 		return
 	}
--- a/proxy/stall.go
+++ b/proxy/stall.go
@@ -49,7 +49,6 @@
 		return
 	}
 	if r.stalled != nil {
-		r.outcomeUnknown = true
 		r.stalled.upstream.recordFailure()
 		n.cancel(r, r.stalled)
 	}
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"teaselplank/batch"
 	"teaselplank/budget"
 )
@@ -177,3 +179,127 @@
 		}
 	}
 }
+
+// In any order of events, at most two attempts are open, an end leaves no load, a 503 is
+// true, and an answer is aborted only if nothing could still complete it.
+func TestStalledAttemptsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHarness(t)
+		path := rapid.SampledFrom([]string{"/safe/1", "/stream/1"}).Draw(rt, "path")
+		open, sent, executed, begun, ended := map[int]bool{}, 0, false, false, false
+		running := map[int]bool{}
+		observe := func(timedOut bool) {
+			for _, e := range h.effects {
+				switch e := e.(type) {
+				case Send:
+					sent++
+					open[e.Attempt] = true
+				case Cancel:
+					if !open[e.Attempt] {
+						rt.Errorf("attempt %d is cancelled, but not open", e.Attempt)
+					}
+					delete(open, e.Attempt)
+				case RunStage:
+					running[e.Job.Ref.Stage] = true
+				case Withdraw:
+					for _, stage := range e.Stages {
+						delete(running, stage)
+					}
+				case Reply:
+					ended = true
+					if e.Status == http.StatusServiceUnavailable && (executed || len(open) > 0) {
+						rt.Error("request may have been executed, but the reply is 503")
+					}
+				case Abort:
+					ended = true
+					if len(open) > 0 && !timedOut {
+						rt.Errorf("answer is aborted with attempts %v open", open)
+					}
+				}
+			}
+			if len(open) > 2 {
+				rt.Errorf("attempts %v are open", open)
+			}
+		}
+		h.arrive(path, 1, 1)
+		observe(false)
+		for step := 0; step < 40 && !ended && h.node.Len() > 0; step++ {
+			h.now, h.effects = h.now.Add(20*time.Millisecond), nil
+			attempt := rapid.IntRange(1, max(sent, 1)).Draw(rt, "attempt")
+			last := ""
+			if begun {
+				last = "3"
+			}
+			a := h.node.requests[h.number].find(attempt)
+			headPending := a != nil && !a.responding
+			event := rapid.SampledFrom([]string{"head", "refused", "error", "event", "stall", "continue", "broken", "unreached", "stage", "late", "timeout"}).Draw(rt, "event")
+			switch event {
+			case "head", "refused", "error", "unreached":
+				if !headPending {
+					continue // An attempt has one head and is unreachable only before it.
+				}
+			case "event", "continue":
+				if a == nil || !a.responding || path != "/stream/1" {
+					continue
+				}
+			}
+			switch event {
+			case "head":
+				executed = true
+				h.respond(attempt, http.StatusOK, false)
+			case "refused":
+				h.respond(attempt, http.StatusServiceUnavailable, true)
+				delete(open, attempt)
+			case "error":
+				executed = true
+				h.respond(attempt, http.StatusInternalServerError, false)
+				if !deliversAttempt(h, attempt) {
+					delete(open, attempt)
+				}
+			case "event":
+				begun = true
+				h.step(FirstEvent{Number: h.number, Attempt: attempt})
+			case "stall":
+				h.stall(attempt, last)
+			case "continue":
+				h.step(AttemptContinued{Number: h.number, Attempt: attempt})
+			case "broken":
+				executed = executed || open[attempt]
+				delete(open, attempt)
+				h.attemptFailed(attempt, ConnectionFailed, last)
+			case "unreached":
+				delete(open, attempt)
+				h.attemptFailed(attempt, Unreachable, last)
+			case "stage":
+				for stage := range running {
+					delete(running, stage)
+					h.stageDone(stage, "a", "h")
+					break
+				}
+			case "late":
+				for stage := range running {
+					delete(running, stage)
+					h.step(StageFailed{Number: h.number, Stage: stage, Reason: batch.ReasonLate})
+					break
+				}
+			case "timeout":
+				h.step(TimedOut{Number: h.number, ResponseStarted: begun})
+				observe(true)
+				continue
+			}
+			observe(false)
+		}
+		if ended {
+			h.wantIdle()
+		}
+	})
+}
+
+func deliversAttempt(h *harness, attempt int) bool {
+	for _, e := range h.effects {
+		if d, ok := e.(Deliver); ok && d.Attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
