Tolerate a few seconds of silence on connections to upstreams

What callers saw: streams that cannot be resumed were cut while their upstream could not be heard for 1.0 to 1.6 s (LOST is broken by such a cut beside a change of the configuration). Cause: keep-alive with two probes a second apart. An interruption that begins just before a probe leaves one second, after which the connection ends with ETIMEDOUT; unacknowledged bytes had 2.5 s.

Now four probes a second apart, and 4 s for unacknowledged bytes: a gone upstream is noticed 6 s after its last bytes instead of 4, and streams that may be resumed do not wait for that.

TestConnectionEndsInSilence failed before (1 s and 2.5 s, want 3 s) and passes.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -40,8 +40,9 @@
 	// dialTimeout bounds making a connection.
 	dialTimeout = 450 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 2500 * time.Millisecond
+	// connection is closed. Like keepAlive, it tolerates that a sound upstream cannot be
+	// heard for a few seconds.
+	unackedTimeout = 4 * time.Second
 	// defaultKeepAlive is how long an idle connection stays usable if its upstream
 	// sends no Keep-Alive timeout. A timeout that it sends is shortened by
 	// keepAliveMargin.
@@ -51,6 +52,10 @@
 	maxIdleConns = 32
 )
 
+// keepAlive is the probing of connections to upstreams. An interruption may begin just
+// before a probe, so only the intervals between the probes count as tolerated.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 4}
+
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
 const tcpUserTimeout = 18
 
@@ -58,7 +63,7 @@
 	c := &connPool{idle: make(map[endpoint][]*conn)}
 	c.dialer = net.Dialer{
 		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
+		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failure error
 			err := raw.Control(func(fd uintptr) {
