Keep the results of stages when a stream is sent again before its first event

What callers saw: a stream whose engine could not be reached, or refused it, was late by a second or more or refused as late, although its stages were done. Cause: results of the stages between are released as soon as the next stage has used them, and a retry took any released result for one that is needed, so it ran all stages again. Only results that no other stage uses go to the engine; if those are held, the stream is now sent at once.

The new case of TestStages failed before (the first stage ran again) and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -270,18 +270,18 @@
 		n.counts.Resumed++
 	}
 	n.record(r, trace.Retried, "", "cause", cause, "attempt", r.attempts, "last_event", r.lastEventID)
-	if r.route.Kind == fleet.Stream && n.lacksResults(r) {
+	if r.route.Kind == fleet.Stream && r.lacksResults() {
 		n.restart(now, r)
 		return
 	}
 	n.send(now, r)
 }
 
-// lacksResults reports whether results of the request's stages were released or are not
+// lacksResults reports whether results that an upstream needs were released or are not
 // complete.
-func (n *Node) lacksResults(r *request) bool {
+func (r *request) lacksResults() bool {
 	for i, s := range r.stages {
-		if s.released || r.pieces(i) > 0 && !s.done {
+		if r.pieces(i) > 0 && len(r.consumers(i)) == 0 && (s.released || !s.done) {
 			return true
 		}
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -321,6 +321,16 @@
 			t.Errorf("released results are %+v, want h1", released)
 		}
 	})
+	t.Run("results that are still held are not made again", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/stream/1", 2, 1)
+		h.stageDone(0, "a", "h1", "h2")
+		h.stageDone(1, "a", "h3")
+		h.attemptFailed(1, Unreachable, "")
+		if s := find[Send](h); len(s.Inputs) != 1 || s.Inputs[0] != "h3" {
+			t.Errorf("request is sent again with inputs %v, want h3", s.Inputs)
+		}
+	})
 	t.Run("stages without pieces", func(t *testing.T) {
 		h := newHarness(t)
 		h.arrive("/stream/1", 0, 0)
