Choose between two attempts at a plain request by their whole answers

The first whole answer now decides, as the first event does for streams.

The new cases of TestStalledAttempts and TestAnswerLostToSilence failed before.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -193,13 +193,10 @@
 	n.deliver(r, a)
 }
 
-// deliver forwards the response of an attempt. The events of a stream decide whether it
-// replaces a stalled attempt.
+// deliver forwards the response of an attempt. Its events, or the whole of a plain answer,
+// decide whether it replaces a stalled attempt.
 func (n *Node) deliver(r *request, a *attempt) {
 	a.responding = true
-	if r.route.Kind != fleet.Stream {
-		n.choose(r, a)
-	}
 	if a == r.current && !r.apply(transitionDeliver) {
 		return
 	}
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -133,6 +133,18 @@
 		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
 		h.wantIdle()
 	})
+	t.Run("other attempt breaks after its head", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/safe/1")
+		h.stall(1, "")
+		h.respond(2, http.StatusOK, false)
+		h.wantNone("the body of attempt 2 has not arrived", isCancel)
+		h.attemptFailed(2, ConnectionFailed, "")
+		h.wantNone("the stalled attempt may go on", isEnd)
+		h.respond(1, http.StatusOK, false)
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+		h.wantIdle()
+	})
 	t.Run("before the head, until the deadline", func(t *testing.T) {
 		h := newHarness(t)
 		h.arrive("/safe/1")
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -35,6 +35,7 @@
 		{"stream, other upstream fails", stand.PathStream, stand.ServiceEngine, otherFails(stand.FaultServerError)},
 		{"plain, other upstream refuses", stand.PathSafe, stand.ServiceDesk, otherFails(stand.FaultRefuse)},
 		{"plain, other upstream breaks", stand.PathSafe, stand.ServiceDesk, otherFails(stand.FaultDropConnection)},
+		{"plain, other upstream breaks within its answer", stand.PathSafe, stand.ServiceDesk, otherFails(stand.FaultTruncateBody)},
 		{"plain, other upstream fails", stand.PathSafe, stand.ServiceDesk, otherFails(stand.FaultServerError)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
