--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -43,3 +43,48 @@
 		t.Errorf("unacknowledged bytes end a connection after %s of silence, want %s or more", silence, tolerated)
 	}
 }
+
+// A connection must not end because its peer is not heard for a second or two from the
+// moment of the first probe on, whatever the options of its socket say.
+func TestConnectionEndsBetweenProbes(t *testing.T) {
+	const tolerated = 3 * time.Second
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := newConnPool().get(context.Background(), upstreamAt(l.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	time.Sleep(keepAlive.Idle - 100*time.Millisecond)
+	silence(t, peer.(*net.TCPConn))
+	began := time.Now()
+	_ = c.SetReadDeadline(began.Add(tolerated + 500*time.Millisecond))
+	_, err = c.Read(make([]byte, 1))
+	if took := time.Since(began); took < tolerated {
+		t.Errorf("connection ends after %s of silence (%v), want %s or more", took, err, tolerated)
+	}
+}
+
+// silence makes a socket drop all packets that arrive, so that its peer hears nothing.
+func silence(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dropAll := []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K}}
+	if err := raw.Control(func(fd uintptr) { err = syscall.AttachLsf(int(fd), dropAll) }); err != nil {
+		t.Fatal(err)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
