Keep a job that was submitted again when its first call ends

Callers got nothing until their deadline, then 504 or a cut stream: a host that gave up a call to the stages' owner and submitted the same job there again lost it, since the end of the first call withdrew the job of the second, and nobody told its waiter. A call now withdraws only the job that it still waits for.

TestSecondCallOfJobIsWithdrawn failed before (no outcome in 3 s) and passes.

--- a/relay/owner.go
+++ b/relay/owner.go
@@ -44,12 +44,7 @@
 		return e
 	case <-ctx.Done():
 	}
-	o.mu.Lock()
-	if o.waiters[job.Ref] == done {
-		delete(o.waiters, job.Ref)
-	}
-	o.mu.Unlock()
-	o.step(batch.Withdraw{Ref: job.Ref})
+	o.withdraw(job.Ref, done)
 	select {
 	case e := <-done:
 		// The job finished at the same moment. Nothing uses its results.
@@ -61,10 +56,26 @@
 	return nil
 }
 
+// withdraw withdraws a job, unless it has been submitted again and has another waiter.
+func (o *owner) withdraw(ref batch.Ref, waiter chan batch.Effect) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiters[ref] != waiter {
+		return
+	}
+	delete(o.waiters, ref)
+	o.stepLocked(batch.Withdraw{Ref: ref})
+}
+
 // step applies an event to the scheduler and performs its effects.
 func (o *owner) step(event batch.Event) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.stepLocked(event)
+}
+
+// stepLocked is step for callers that hold the lock.
+func (o *owner) stepLocked(event batch.Event) {
 	for _, e := range o.scheduler.Step(o.server.now(), event) {
 		switch e := e.(type) {
 		case batch.Call:
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -185,3 +186,32 @@
 	s.division = batch.Division{}
 	wantOwner("b", "a")
 }
+
+// A node that submits a job again after its first call was cancelled must get the outcome,
+// though the owner learns of the cancellation last.
+func TestSecondCallOfJobIsWithdrawn(t *testing.T) {
+	d := deploy(t, 1)
+	for _, w := range d.workers {
+		if w.Kind == stand.Stage {
+			w.Delay = 150 * time.Millisecond
+		}
+	}
+	s := d.nodes[0].server
+	due := s.now().Add(3 * time.Second)
+	job := batch.Job{Ref: batch.Ref{Request: "again"}, Service: stand.ServiceEncode, Pieces: 1, ResultBytes: 10, Key: "k",
+		Zone: "a", Due: due, StagesDue: due, Deadline: due}
+	first, cancelFirst := context.WithCancel(t.Context())
+	defer cancelFirst()
+	go s.owner.run(first, job)
+	d.await("the job is submitted", s.owner.busy)
+	second, cancelSecond := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancelSecond()
+	outcome := make(chan batch.Effect, 1)
+	go func() { outcome <- s.owner.run(second, job) }()
+	d.await("the job is submitted again", func() bool { return s.owner.counts().Submitted == 2 })
+	cancelFirst()
+	e := <-outcome
+	if _, ok := e.(batch.Done); !ok {
+		t.Errorf("outcome is %T, want batch.Done", e)
+	}
+}
