Count one silence of the owner of stages as one failure

A host whose owner of stages was silent for a moment used another owner for up to 12 s, and two schedulers filled the same workers: each call that the silence had interrupted counted as a failure of its own and doubled the time. Cancelling the calls already marks the node, once.

TestOneSilenceCountsForEachCall failed before (suspect for 12 s after six calls, want 1.5 s) and passes.

--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -215,3 +216,28 @@
 		t.Errorf("outcome is %T, want batch.Done", e)
 	}
 }
+
+// One silence of a node must not count as one failure for each call that it interrupts.
+func TestOneSilenceCountsForEachCall(t *testing.T) {
+	d := deploy(t, 1)
+	s := d.nodes[0].server
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() // Connections are made, but nobody reads from them.
+	silent := member.Node{ID: "silent", Addr: l.Addr().String()}
+	var calls sync.WaitGroup
+	for i := range 6 {
+		calls.Go(func() {
+			s.runRemote(t.Context(), silent, uint64(i), batch.Job{Ref: batch.Ref{Request: fmt.Sprint(i)}, Service: stand.ServiceEncode, Pieces: 1})
+		})
+	}
+	calls.Wait()
+	s.peers.mu.Lock()
+	left := time.Until(s.peers.byAddr[silent.Addr].health.SuspectUntil())
+	s.peers.mu.Unlock()
+	if left > peerBackoff.Min {
+		t.Errorf("node is suspect for %s, want %s at most", left, peerBackoff.Min)
+	}
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -136,7 +136,10 @@
 		s.metrics.countPeerFailure("run")
 		s.logDecision(trace.OwnerFailed, "request", job.Ref.Request, "service", job.Service, "owner", node.ID,
 			"silent", ctx.Err() != nil, "moved", err == nil)
-		s.peers.markSuspect(node.Addr)
+		if ctx.Err() == nil {
+			// A silent node was marked when its calls were cancelled.
+			s.peers.markSuspect(node.Addr)
+		}
 		return nil, false
 	}
 	if len(reply.GetResults()) == 0 {
