Charge the retry of a silent attempt when it is sent

Silences that end by themselves used up the retry budget, though nothing was sent: the retry was charged before the stages ran. 30 streams that were silent for a moment left 0.2 of 14 retries, and a stream that really broke in the same window was cut. The budget is now checked at the silence and charged at the send.

TestBudgetLostToSilences failed before (0.2 retries left, want 14) and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -98,6 +98,11 @@
 		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now)))
 		return
 	}
+	if r.uncharged && !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
+		n.fail(now, r, ReasonBudget, busyRetryAfter)
+		return
+	}
+	r.uncharged = false
 	if !r.apply(transitionSend) {
 		return
 	}
@@ -248,17 +253,20 @@
 	n.restart(now, r)
 }
 
-// allowRetry reports whether a request may be sent to another upstream after an
-// attempt that may have been executed. If so, it charges the retry to the budget.
-func (n *Node) allowRetry(now time.Time, r *request) bool {
+// mayRetry reports whether a request may be sent to another upstream after an attempt
+// that may have been executed, apart from the budget.
+func (n *Node) mayRetry(now time.Time, r *request) bool {
 	p := n.pools[r.service]
 	if !r.route.Retryable() || r.executions >= r.route.Attempts || r.attempts >= maxAttempts || p == nil {
 		return false
 	}
-	if len(p.candidates(now, r.tried)) == 0 {
-		return false
-	}
-	return p.retryBudget.Spend(n.config.Budget, now, n.nodes)
+	return len(p.candidates(now, r.tried)) > 0
+}
+
+// allowRetry reports whether a request may be retried after an attempt that may have been
+// executed. If so, it charges the retry to the budget.
+func (n *Node) allowRetry(now time.Time, r *request) bool {
+	return n.mayRetry(now, r) && n.pools[r.service].retryBudget.Spend(n.config.Budget, now, n.nodes)
 }
 
 func (n *Node) retry(now time.Time, r *request, cause string) {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -70,6 +70,9 @@
 	tried []string
 	// current is the newest attempt, or nil if it has ended or none was made.
 	current *attempt
+	// uncharged is true if the next attempt is a retry that the budget has not been
+	// charged for, because it may turn out to be needless.
+	uncharged bool
 	// stalled is an attempt whose upstream is silent, or nil. It stays open until the
 	// response of another attempt goes on, so that the request can return to it. No
 	// response of another attempt goes on while it is set.
--- a/proxy/stall.go
+++ b/proxy/stall.go
@@ -18,14 +18,14 @@
 	}
 	r.setExecuted(a, true)
 	r.noteProgress(e.LastEventID, e.ResponseStarted)
-	retries := n.allowRetry(now, r)
+	retries := n.mayRetry(now, r) && n.pools[r.service].retryBudget.Remaining(n.config.Budget, now, n.nodes) >= 1
 	n.recordSince(now, a.sentAt, r, trace.AttemptStalled, "", "attempt", e.Attempt, "upstream", a.upstream.ID,
 		"silent_ms", e.Silence.Milliseconds(), "retries", retries, "last_event", r.lastEventID,
 		"left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
 	if !retries {
 		return
 	}
-	r.stalled, r.current = a, nil
+	r.stalled, r.current, r.uncharged = a, nil, true
 	n.retry(now, r, "silent")
 }
 
@@ -71,7 +71,7 @@
 	if a.started {
 		n.releaseAll(r)
 	}
-	r.current, r.stalled = a, nil
+	r.current, r.stalled, r.uncharged = a, nil, false
 	if reason != "" {
 		n.record(r, trace.Awaited, reason, "attempt", a.number, "upstream", a.upstream.ID)
 	}
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -167,6 +167,12 @@
 		h.stall(1, "")
 		h.wantNone("the budget is used up", isSend)
 	})
+	t.Run("stream without a budget", func(t *testing.T) {
+		h := newHarness(t)
+		h.node.config.Budget = budget.Config{Window: time.Second}
+		h.streamTo("4")
+		h.wantNone("the budget is used up", func(e Effect) bool { _, ok := e.(RunStage); return ok })
+	})
 	t.Run("attempts are used up", func(t *testing.T) {
 		h := newHarness(t)
 		h.arrive("/safe/1")
@@ -315,3 +321,16 @@
 	}
 	return false
 }
+
+// Silences that end by themselves must not use up the budget, as no attempt was made.
+func TestBudgetLostToSilences(t *testing.T) {
+	h := newHarness(t)
+	for range 30 {
+		h.streamTo("1")
+		h.step(AttemptContinued{Number: h.number, Attempt: 1})
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+	}
+	if left := h.node.RetriesLeft(h.now)["engine"]; left < 14 {
+		t.Errorf("%.1f retries are left, want 14 or more", left)
+	}
+}
