Return to a stalled attempt when it is too late for another one

A request whose second attempt was ready less than 20 ms before its deadline was ended at once, though its silent upstream might have gone on in that time. TestStalledAttemptLostNearDeadline failed before and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if r.deadline.Sub(now) < minTimeLeft {
-		n.timedOut(now, TimedOut{Number: r.Number})
+		n.endLate(now, r)
 		return
 	}
 	chosen, ok := n.pick(p.candidates(now, r.tried), r)
@@ -121,6 +121,16 @@
 	n.emit(n.sendEffect(now, r))
 }
 
+// endLate ends a request that is too late to be sent, unless a stalled attempt may still
+// have a response.
+func (n *Node) endLate(now time.Time, r *request) {
+	if r.stalled != nil {
+		n.returnToStalled(r, ReasonTimeout)
+		return
+	}
+	n.timedOut(now, TimedOut{Number: r.Number})
+}
+
 func (n *Node) pick(candidates []picker.Candidate, r *request) (picker.Candidate, bool) {
 	if n.isEngine(r.service) {
 		return picker.PrefixAffinity{Zone: r.homeZone, SharedPrefix: r.SharedPrefix}.Pick(n.setZoneWeights(candidates))
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -334,3 +334,15 @@
 		t.Errorf("%.1f retries are left, want 14 or more", left)
 	}
 }
+
+// A request that is too late for another attempt must not lose the one that is open.
+func TestStalledAttemptLostNearDeadline(t *testing.T) {
+	h := newHarness(t)
+	h.streamTo("4")
+	h.stageDone(0, "a", "h3")
+	h.now = h.now.Add(6*time.Second - minTimeLeft/2)
+	h.stageDone(1, "a", "h4")
+	h.wantNone("the stalled attempt may go on", isEnd)
+	h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+	h.wantIdle()
+}
