Use the sound upstreams of suspect zones when no other is left

Callers got 503 "no upstream is available" beside sound upstreams: one connect timeout makes all upstreams of its zone suspect, and a silent upstream in each zone left none. Retries of an attempt that broke at that moment ended 502, or as a cut stream. Upstreams that are suspect for their zone alone are now used when nothing else is, so a cut zone still costs requests nothing while others remain.

TestSilentUpstreamsTakeTheirZonesAlong failed before and passes.

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -34,6 +34,9 @@
 	failureRate      float64
 	// health tracks the failures since the last success.
 	health health.Record
+	// onlyZoneFailed is true if the upstream is suspect because others of its zone could
+	// not be reached, and has not failed itself.
+	onlyZoneFailed bool
 	// pause is how long the upstream wants no requests of this node.
 	pause health.Pause
 	// lastResponse is the time of the upstream's last response.
@@ -82,19 +85,33 @@
 	n.countWorkers()
 }
 
-// candidates returns the usable upstreams of the pool, except those already tried.
+// candidates returns the usable upstreams of the pool, except those already tried. If
+// there are none, those of suspect zones that have not failed themselves are usable: their
+// zone may be reachable, and only one of its upstreams silent.
 func (p *pool) candidates(now time.Time, tried []string) []picker.Candidate {
-	var found []picker.Candidate
+	var found, ofSuspectZones []picker.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || u.pause.Active(now) || u.health.Suspect(now) || slices.Contains(tried, u.ID) {
+		if u.Draining || u.pause.Active(now) || slices.Contains(tried, u.ID) {
 			continue
 		}
-		found = append(found, picker.Candidate{
-			ID: u.ID, Zone: u.Zone, Slots: u.Slots, InFlight: u.inFlight, OthersInFlight: u.otherRequests(now),
-			Latency: u.latency, FailureRate: u.failureRate, PendingTokens: u.pendingTokens,
-		})
+		switch {
+		case !u.health.Suspect(now):
+			found = append(found, u.candidate(now))
+		case u.onlyZoneFailed:
+			ofSuspectZones = append(ofSuspectZones, u.candidate(now))
+		}
+	}
+	if len(found) > 0 {
+		return found
+	}
+	return ofSuspectZones
+}
+
+func (u *upstream) candidate(now time.Time) picker.Candidate {
+	return picker.Candidate{
+		ID: u.ID, Zone: u.Zone, Slots: u.Slots, InFlight: u.inFlight, OthersInFlight: u.otherRequests(now),
+		Latency: u.latency, FailureRate: u.failureRate, PendingTokens: u.pendingTokens,
 	}
-	return found
 }
 
 // pauseUpstream records that an upstream wants no requests for some time.
@@ -167,6 +184,7 @@
 func (u *upstream) recordSuccess(now time.Time, latency time.Duration) {
 	u.lastResponse = now
 	u.health.Clear()
+	u.onlyZoneFailed = false
 	u.failureRate -= averageWeight * u.failureRate
 	u.latency = movingAverage(u.latency, latency)
 }
@@ -176,6 +194,7 @@
 
 // markSuspect records a failure and starts or extends the upstream's backoff.
 func (u *upstream) markSuspect(now time.Time) {
+	u.onlyZoneFailed = false
 	u.recordFailure()
 	u.health.Fail(now, backoff)
 }
@@ -186,7 +205,9 @@
 	for _, p := range n.pools {
 		for _, u := range p.upstreams {
 			if u.Zone == zone && now.Sub(u.lastResponse) > recentResponseAge && !u.health.Suspect(now) {
+				hasFailed := u.health.HasFailed() && !u.onlyZoneFailed
 				u.markSuspect(now)
+				u.onlyZoneFailed = !hasFailed
 			}
 		}
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -438,3 +438,37 @@
 		}
 	})
 }
+
+// Upstreams that cannot be heard for a moment must not make the sound ones of their zones
+// unusable, if no other upstream is left.
+func TestSilentUpstreamsTakeTheirZonesAlong(t *testing.T) {
+	var upstreams []fleet.Upstream
+	for _, zone := range []string{"a", "b", "c"} {
+		for _, name := range []string{"1", "2", "3"} {
+			upstreams = append(upstreams, fleet.Upstream{ID: zone + name, Born: 1, Service: "desk", Zone: zone, Slots: 4})
+		}
+	}
+	h := newHarness(t)
+	h.step(UpstreamsRegistered{Upstreams: upstreams})
+	for range 3 {
+		h.arrive("/unsafe/1")
+	}
+	sent := h.number
+	// Each of the three requests is at an upstream in a zone of its own that cannot be heard.
+	for i, zone := range []string{"a", "b", "c"} {
+		r := h.node.requests[sent-uint64(i)]
+		h.node.endAttempt(r, r.current)
+		u := h.node.pools["desk"].byID[zone+"1"]
+		u.inFlight++
+		r.current = &attempt{number: 1, upstream: u, sentAt: h.now}
+	}
+	h.now = h.now.Add(450 * time.Millisecond)
+	for i := range uint64(3) {
+		h.number = sent - i
+		h.attemptFailed(1, ConnectTimeout, "")
+		h.wantNone("six upstreams are sound", isEnd)
+	}
+	h.number = sent
+	h.arrive("/unsafe/1")
+	h.wantNone("six upstreams are sound", isEnd)
+}
