Add a failing test: a stream refused before the scheduler knows its workers

Callers saw 503 "stage failed" for the first stream of a new deployment, with no run of any stage, while every worker was there (TestRequestOfEachKind, once).

Cause: applyConfig and updateReducers step proxy.Node first, which makes the node ready or its new routes visible, and release the lock before owner.step passes the services and workers to the stage scheduler. A stream in between meets a scheduler without workers, which refuses it for lack of one. The same holds at each change of the configuration that names a new stage service.

Ruled out by reading: another owner (a request of the first node is run by that node itself, the oldest), the division (two workers a service give one owner), two concurrent updates (updateReducers runs them one after the other), failed calls (they end in "cannot be answered in time", or need four calls that ran).

--- /dev/null
+++ b/relay/ready_test.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselplank/infra"
+	"teaselplank/platform/stand"
+)
+
+// heldUpTime is how long the tests hold up the scheduler.
+const heldUpTime = 200 * time.Millisecond
+
+// A node that can take a request before its scheduler knows the services and workers of
+// the stages refuses the request although every worker is there.
+func TestStreamRefusedBeforeSchedulerKnowsWorkers(t *testing.T) {
+	d := deploy(t, 0)
+	for _, test := range []struct {
+		name          string
+		first, second infra.Stream
+	}{
+		{"configuration before upstreams", infra.StreamConfig, infra.StreamUpstreams},
+		{"upstreams before configuration", infra.StreamUpstreams, infra.StreamConfig},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := d.newServer(d.settings("node"))
+			defer s.close()
+			s.mu.Lock()
+			s.join.Finish()
+			s.mu.Unlock()
+			apply(t, s, test.first)
+			wantNever(t, s, "ready", func() { apply(t, s, test.second) }, func() bool { return readiness(s) == http.StatusOK })
+			if got := readiness(s); got != http.StatusOK {
+				t.Errorf("readiness is %d once the scheduler knows the workers, want 200", got)
+			}
+		})
+	}
+	t.Run("newer configuration", func(t *testing.T) {
+		s := d.newServer(d.settings("node"))
+		defer s.close()
+		apply(t, s, infra.StreamUpstreams)
+		apply(t, s, infra.StreamConfig)
+		stand.PutConfig(d.store, 2)
+		inForce := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.node.Table().Version() == 2
+		}
+		wantNever(t, s, "used", func() { apply(t, s, infra.StreamConfig) }, inForce)
+		if !inForce() {
+			t.Error("newer configuration is not in force once the scheduler knows its services")
+		}
+	})
+}
+
+// apply reads a stream of the store and applies it to the server.
+func apply(t *testing.T, s *Server, stream infra.Stream) {
+	t.Helper()
+	page, err := s.readNewest(stream)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if stream == infra.StreamConfig {
+		s.applyConfigRecords(page.Records, true)
+	} else {
+		s.applyUpstreamRecords(page.Records, true)
+	}
+}
+
+// wantNever holds up the scheduler while change runs, and checks that the condition is
+// not true before the scheduler goes on.
+func wantNever(t *testing.T, s *Server, what string, change func(), condition func() bool) {
+	t.Helper()
+	var changed sync.WaitGroup
+	s.owner.mu.Lock()
+	changed.Go(change)
+	for end := time.Now().Add(heldUpTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			t.Errorf("node is %s before its scheduler knows the services and workers", what)
+			break
+		}
+	}
+	s.owner.mu.Unlock()
+	changed.Wait()
+}
+
+func readiness(s *Server) int {
+	w := httptest.NewRecorder()
+	s.serveReady(w, nil)
+	return w.Code
+}
