Pass a configuration and upstreams to the scheduler before the node

Callers saw 503 "stage failed" at the start of a host, and at a change of the configuration that names a new stage service, though every worker was there: the node took a stream before its scheduler had the services and workers.

setReducers now steps the scheduler first and the node after it, both with the same configuration and upstreams, so that whatever makes the node ready or its routes visible comes last. The window is gone rather than shorter: no order of the two reads leaves the node ahead of its scheduler. A configuration comes into force under notifyMu, which already orders updates of upstreams.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -189,7 +189,7 @@
 	s.mu.Lock()
 	var document []byte
 	if s.configVersion() > m.GetVersion() {
-		document = s.config
+		document = s.config.document
 	}
 	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed()}
 	s.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,9 +83,9 @@
 	node      *proxy.Node
 	group     *member.Group
 	directory fleet.Directory
-	// config is the document of the configuration in force. fetchingVersion is the
-	// version being fetched from a peer, or 0.
-	config          []byte
+	// config is the configuration in force. fetchingVersion is the version being
+	// fetched from a peer, or 0.
+	config          configuration
 	fetchingVersion int64
 	// division assigns the stage workers to owners.
 	division batch.Division
@@ -99,7 +99,7 @@
 	join member.Join
 
 	// notifyMu serializes updates of upstreams and services in the reducers. It is
-	// locked before mu.
+	// locked before mu and the owner's lock.
 	notifyMu sync.Mutex
 
 	owner    *owner
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// A configuration is the operator's configuration and the document that it was parsed
+// from. The zero value is that of a node that knows none.
+type configuration struct {
+	document []byte
+	table    *fleet.Table
+}
+
 // applyConfig puts a configuration in force if it is newer than the current one.
 func (s *Server) applyConfig(document []byte, source string) {
 	config, err := s.protocol.ParseConfig(document)
@@ -58,21 +65,29 @@
 		s.metrics.countInvalid("config")
 		return
 	}
-	table := fleet.NewTable(config)
-	s.mu.Lock()
-	before := s.configVersion()
-	if config.Version <= before {
-		s.mu.Unlock()
+	before, newer := s.useConfig(configuration{document, fleet.NewTable(config)})
+	if !newer {
 		return
 	}
-	s.config = document
-	s.node.Step(s.now(), proxy.Configured{Table: table})
-	s.mu.Unlock()
 	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
-	s.updateReducers()
 	s.memberStep(member.SelfUpdated{Version: config.Version})
 }
 
+// useConfig passes a configuration to the reducers if it is newer than the current one,
+// and returns the version of that one.
+func (s *Server) useConfig(c configuration) (before int64, newer bool) {
+	s.notifyMu.Lock()
+	defer s.notifyMu.Unlock()
+	s.mu.Lock()
+	before = s.configVersion()
+	s.mu.Unlock()
+	if c.table.Version() <= before {
+		return before, false
+	}
+	s.setReducers(c)
+	return before, true
+}
+
 // applyUpstreamRecords applies records of upstreams: all of them, or changes in order.
 func (s *Server) applyUpstreamRecords(records []infra.KeyedRecord, all bool) {
 	now := s.now()
@@ -187,26 +202,42 @@
 
 func parseBorn(incarnation string) (int64, error) { return strconv.ParseInt(incarnation, 10, 64) }
 
-// updateReducers passes the current upstreams and services to the reducers. Concurrent
-// calls run one after the other, so that the newest state is passed last.
+// updateReducers passes the current upstreams to the reducers. Concurrent calls run one
+// after the other, so that the newest state is passed last.
 func (s *Server) updateReducers() {
 	s.notifyMu.Lock()
 	defer s.notifyMu.Unlock()
+	s.mu.Lock()
+	config := s.config
+	s.mu.Unlock()
+	s.setReducers(config)
+}
+
+// setReducers passes a configuration and the current upstreams to the reducers. The
+// scheduler gets them first: the node accepts a request as soon as it knows its route, and
+// the scheduler must be able to run the request's stages then. The lock notifyMu must be
+// held.
+func (s *Server) setReducers(c configuration) {
 	s.mu.Lock()
 	upstreams := s.directory.All()
+	s.mu.Unlock()
 	var services []fleet.Service
-	if t := s.node.Table(); t != nil {
-		services = t.Services()
+	if c.table != nil {
+		services = c.table.Services()
+	}
+	division := batch.Divide(services, upstreams)
+	s.owner.step(batch.SetWorkers{Services: services, Upstreams: division.Workers(s.self.Zone, upstreams)})
+	s.mu.Lock()
+	if c.table != nil {
+		s.node.Step(s.now(), proxy.Configured{Table: c.table})
 	}
 	s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
 	before := s.division
-	s.division = batch.Divide(services, upstreams)
-	owners, workers := s.division.Owners(), s.division.Workers(s.self.Zone, upstreams)
+	s.config, s.division = c, division
 	s.mu.Unlock()
-	if owners != before.Owners() {
-		s.logger.Info("stages are divided", "owners", owners, "before", before.Owners(), "upstreams", len(upstreams))
+	if division.Owners() != before.Owners() {
+		s.logger.Info("stages are divided", "owners", division.Owners(), "before", before.Owners(), "upstreams", len(upstreams))
 	}
-	s.owner.step(batch.SetWorkers{Services: services, Upstreams: workers})
 }
 
 // memberLoop ticks the group, expires upstreams, and fetches state from peers during a
