Refuse jobs as not their owner before the services and workers are known

Callers see 503 "stage failed" when the host that others take for the stages' owner has started but read nothing: one that came back with the largest CPU share is the owner as soon as gossip names it, and at a start of the whole fleet the oldest host is. Its scheduler answered that the stage has no worker, which is final, although the host that asked knew every worker.

A scheduler now refuses all jobs as not their owner until it was given services and workers, and gets neither before both were read. The host that asked treats that as it does a leaving owner: the next one runs the job, which is the previous owner as a rule. If three owners in turn do not run it, the host runs it itself, since it knows the workers of what it has admitted; it refused such a request before.

The tests of relay and batch pass under the race detector.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -16,11 +16,13 @@
 	"teaselplank/queue"
 )
 
-// A Scheduler is the state of the reducer. The zero value has no workers and is ready
-// to use.
+// A Scheduler is the state of the reducer. The zero value is ready to use; it refuses jobs
+// as not their owner until SetWorkers.
 type Scheduler struct {
-	pools map[string]*pool
-	jobs  map[Ref]*job
+	// configured is true once the services and workers were set.
+	configured bool
+	pools      map[string]*pool
+	jobs       map[Ref]*job
 	// calls holds the calls in flight by number.
 	calls map[int]*call
 	// upcoming holds the downstream stages of admitted requests, and upcomingExpiry
@@ -166,7 +168,7 @@
 	if old := s.jobs[j.Ref]; old != nil {
 		s.drop(old)
 	}
-	if s.draining {
+	if s.draining || !s.configured {
 		s.refuse(&job{Job: j}, ReasonNotOwner, 0)
 		return
 	}
--- a/batch/event.go
+++ b/batch/event.go
@@ -74,7 +74,8 @@
 	ReasonInputLost Reason = "stage input is gone"
 	// ReasonFailed means that too many pieces of the job failed at workers.
 	ReasonFailed Reason = "stage failed"
-	// ReasonNotOwner means that another node now owns the service.
+	// ReasonNotOwner means that another node now owns the service, or that this one
+	// does not know the services and workers yet.
 	ReasonNotOwner Reason = "stage is owned by another node"
 )
 
@@ -106,7 +107,8 @@
 		Worker string
 		Space  int64
 	}
-	// SetWorkers sets the configuration and the upstreams of stage services.
+	// SetWorkers sets the configuration and the upstreams of stage services, both as
+	// the deployment has them.
 	SetWorkers struct {
 		Services  []fleet.Service
 		Upstreams []fleet.Upstream
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -27,6 +27,7 @@
 
 // update sets the services and upstreams. The results of removed workers are lost.
 func (s *Scheduler) update(e SetWorkers) {
+	s.configured = true
 	kept := make(map[string]bool)
 	for _, j := range s.jobs {
 		kept[j.Service] = true
--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -8,6 +10,7 @@
 	"time"
 
 	"teaselplank/infra"
+	"teaselplank/member"
 	"teaselplank/platform/stand"
 )
 
@@ -93,3 +96,44 @@
 	s.serveReady(w, nil)
 	return w.Code
 }
+
+// A node that has just started can be the owner in the view of others, as it has the
+// largest CPU share, before it has read anything. Their requests must not be refused.
+func TestStreamRefusedByOwnerThatHasReadNothing(t *testing.T) {
+	for _, count := range []int{1, maxOwnerAttempts} {
+		t.Run(fmt.Sprint(count, " owners"), func(t *testing.T) {
+			d := deploy(t, 1)
+			for i := range count {
+				d.addIdleOwner(fmt.Sprint("new-", i))
+			}
+			if got := d.nodes[0].server.stageOwner("a").ID; got == "node-0" {
+				t.Fatalf("owner is %q, want a new node", got)
+			}
+			r := d.ask(d.nodes[0], stand.PathStream)
+			wantStatus(t, r, http.StatusOK)
+			if r.body != allEvents {
+				t.Errorf("events are %q, want all", r.body)
+			}
+		})
+	}
+}
+
+// addIdleOwner adds a node that answers other nodes but reads nothing, and that the first
+// node prefers as the owner.
+func (d *deployment) addIdleOwner(id string) {
+	d.t.Helper()
+	settings := d.settings(id)
+	settings.Processor = 4
+	s := d.newServer(settings)
+	l, err := net.Listen("tcp", settings.Peers)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	server := &http.Server{Handler: s.peerHandler()}
+	go func() { _ = server.Serve(l) }()
+	d.t.Cleanup(func() {
+		server.Close()
+		s.close()
+	})
+	d.nodes[0].server.memberStep(member.DigestReceived{Digest: member.Digest{From: s.self}})
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,12 +19,25 @@
 // cannot be reached.
 const maxOwnerAttempts = 3
 
-// runStage runs a job at the owner of its zone and returns its outcome. If the owner
-// cannot be reached, the job is retried at the next one, and if it has no worker, at the
-// owner of another zone.
+// runStage runs a job and returns its outcome. If no owner runs it, this node does, which
+// knows the workers of each request that it has admitted.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) proxy.Event {
+	outcome := s.runAtOwners(ctx, number, job)
+	if outcome != nil || ctx.Err() != nil {
+		return outcome
+	}
+	if event, ok := s.runAt(ctx, s.self, number, job); ok {
+		return event
+	}
+	return proxy.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonNoWorker}
+}
+
+// runAtOwners runs a job at the owner of its zone and returns its outcome. If the owner
+// does not run it, the job is retried at the next one, and if it has no worker, at the
+// owner of another zone. It returns nil if no owner runs the job.
+func (s *Server) runAtOwners(ctx context.Context, number uint64, job batch.Job) proxy.Event {
 	zone := job.Zone
-	var outcome proxy.Event = proxy.StageFailed{Number: number, Stage: job.Ref.Stage, Reason: batch.ReasonNoWorker}
+	var outcome proxy.Event
 	for range maxOwnerAttempts {
 		event, ok := s.runAt(ctx, s.stageOwner(zone), number, job)
 		if ok {
@@ -58,7 +71,7 @@
 	}
 	e := s.owner.run(ctx, job)
 	if refused, ok := e.(batch.Refused); ok && refused.Reason == batch.ReasonNotOwner {
-		return nil, false // This node is leaving.
+		return nil, false // This node is leaving, or does not know the workers yet.
 	}
 	return stageEvent(number, job, e), true
 }
@@ -115,7 +128,8 @@
 }
 
 // runRemote runs a job at another node. It returns false if the node could not be
-// reached, became unresponsive or is leaving, or if the outer context has ended.
+// reached, became unresponsive, is leaving or does not know the workers yet, or if the
+// outer context has ended.
 func (s *Server) runRemote(outer context.Context, node member.Node, number uint64, job batch.Job) (event proxy.Event, ok bool) {
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -215,18 +215,20 @@
 
 // setReducers passes a configuration and the current upstreams to the reducers. The
 // scheduler gets them first: the node accepts a request as soon as it knows its route, and
-// the scheduler must be able to run the request's stages then. The lock notifyMu must be
-// held.
+// the scheduler must be able to run the request's stages then. It gets nothing until both
+// are known. The lock notifyMu must be held.
 func (s *Server) setReducers(c configuration) {
 	s.mu.Lock()
-	upstreams := s.directory.All()
+	upstreams, complete := s.directory.All(), c.table != nil && s.upstreamsKnown
 	s.mu.Unlock()
 	var services []fleet.Service
 	if c.table != nil {
 		services = c.table.Services()
 	}
 	division := batch.Divide(services, upstreams)
-	s.owner.step(batch.SetWorkers{Services: services, Upstreams: division.Workers(s.self.Zone, upstreams)})
+	if complete {
+		s.owner.step(batch.SetWorkers{Services: services, Upstreams: division.Workers(s.self.Zone, upstreams)})
+	}
 	s.mu.Lock()
 	if c.table != nil {
 		s.node.Step(s.now(), proxy.Configured{Table: c.table})
