Keep a withdrawn stage service while its workers are registered

Callers see 503 "stage failed" beside a change of the configuration that withdraws a stage service, for example by moving a route to another one: requests that were admitted before it, with stages already run, are refused at the withdrawn stage as if it had no worker, though its workers still serve. The work is lost. The same holds for requests of hosts that have the older configuration for a moment longer.

It now keeps the service, with the last known call sizes, until its workers have left and its jobs have ended. It also follows the workers' entries meanwhile: it used to keep the workers of such a service as they were, also once they were leaving.

--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -319,3 +319,29 @@
 		t.Errorf("a worker had %d calls at once, want 2", maxCalls)
 	}
 }
+
+// A configuration withdraws the service of a later stage while a request is at an earlier
+// one. The request must not be refused as long as the service's workers are there.
+func TestStageRefusedAfterServiceIsWithdrawn(t *testing.T) {
+	h := newChainHarness(t)
+	first := h.submitChain("r", 2*time.Second)
+	services := []fleet.Service{{Name: "s", Batch: &testBatch}}
+	list := upstreams("a1", "a2")
+	list[1].Service = "narrow"
+	h.step(SetWorkers{Services: services, Upstreams: list})
+	h.run(300 * time.Millisecond)
+	h.wantDone(first, 1)
+	second := Ref{Request: "r", Stage: 1}
+	h.step(Submit{Job: Job{
+		Ref: second, Service: "narrow", Pieces: 1, ResultBytes: 10, Inputs: []string{"input"}, Zone: "a", Started: true,
+		Due: h.now.Add(time.Second), StagesDue: h.now.Add(time.Second), Deadline: h.now.Add(6 * time.Second),
+	}})
+	h.run(300 * time.Millisecond)
+	h.wantDone(second, 1)
+	t.Run("workers are gone", func(t *testing.T) {
+		h.step(SetWorkers{Services: services, Upstreams: list[:1]})
+		if got := len(h.scheduler.Pools(h.now)); got != 1 {
+			t.Errorf("scheduler has %d services, want 1", got)
+		}
+	})
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -25,7 +25,9 @@
 	lastJobAt time.Time
 }
 
-// update sets the services and upstreams. The results of removed workers are lost.
+// update sets the services and upstreams. The results of removed workers are lost. A
+// service that is no longer configured remains while it has workers or jobs, for the
+// requests that were admitted before.
 func (s *Scheduler) update(e SetWorkers) {
 	s.configured = true
 	kept := make(map[string]bool)
@@ -43,10 +45,10 @@
 			s.pools[service.Name] = p
 		}
 		p.batch = *service.Batch
-		p.update(e.Upstreams)
 	}
-	for name := range s.pools {
-		if !kept[name] {
+	for name, p := range s.pools {
+		p.update(e.Upstreams)
+		if len(p.workers) == 0 && !kept[name] {
 			delete(s.pools, name)
 		}
 	}
