Run a job at its own node if the owner does not know its service

Callers see 503 "stage failed" on a route with a new stage service, in the moment in which the host that got the request has the configuration and the stages' owner does not: some 20 ms by the store, some 0.5 s by peers. The owner answered that the stage has no worker, which is final.

It now answers that it does not know the service, and the node that has the request runs the job itself, as it does if no owner runs it. The owner does not become suspect: it stays the owner of all other jobs, since two schedulers for the same workers fill them badly.

Remains: an owner that knows the service, but has not read the entry of its first worker yet, still refuses for lack of a worker.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -174,7 +174,7 @@
 	}
 	p := s.pools[j.Service]
 	if p == nil {
-		s.refuse(&job{Job: j}, ReasonNoWorker, noWorkerRetryAfter)
+		s.refuse(&job{Job: j}, ReasonUnknownService, noWorkerRetryAfter)
 		return
 	}
 	if len(p.usable(now)) == 0 {
--- a/batch/event.go
+++ b/batch/event.go
@@ -70,6 +70,9 @@
 	ReasonLate Reason = "stage cannot finish in time"
 	// ReasonNoWorker means that the service has no usable worker.
 	ReasonNoWorker Reason = "stage has no worker"
+	// ReasonUnknownService means that this owner does not know the service. A node with
+	// a newer configuration does.
+	ReasonUnknownService Reason = "stage service is not known"
 	// ReasonInputLost means that an input is lost: the preceding stages must run again.
 	ReasonInputLost Reason = "stage input is gone"
 	// ReasonFailed means that too many pieces of the job failed at workers.
--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"teaselplank/batch"
+	"teaselplank/fleet"
 	"teaselplank/infra"
 	"teaselplank/member"
 	"teaselplank/platform/stand"
@@ -118,9 +120,24 @@
 	}
 }
 
+// A configuration adds a stage service, and the owner of the stages reads it later than
+// the node that got a request. The request must not be refused.
+func TestStreamRefusedByOwnerWithOlderConfiguration(t *testing.T) {
+	d := deploy(t, 1)
+	d.addIdleOwner("new").owner.step(batch.SetWorkers{Services: []fleet.Service{{Name: stand.ServiceDesk}}})
+	r := d.ask(d.nodes[0], stand.PathStream)
+	wantStatus(t, r, http.StatusOK)
+	if r.body != allEvents {
+		t.Errorf("events are %q, want all", r.body)
+	}
+	if got := d.nodes[0].server.stageOwner("a").ID; got != "new" {
+		t.Errorf("owner is %q after the job, want the same one", got)
+	}
+}
+
 // addIdleOwner adds a node that answers other nodes but reads nothing, and that the first
 // node prefers as the owner.
-func (d *deployment) addIdleOwner(id string) {
+func (d *deployment) addIdleOwner(id string) *Server {
 	d.t.Helper()
 	settings := d.settings(id)
 	settings.Processor = 4
@@ -136,4 +153,5 @@
 		s.close()
 	})
 	d.nodes[0].server.memberStep(member.DigestReceived{Digest: member.Digest{From: s.self}})
+	return s
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,11 +19,11 @@
 // cannot be reached.
 const maxOwnerAttempts = 3
 
-// runStage runs a job and returns its outcome. If no owner runs it, this node does, which
-// knows the workers of each request that it has admitted.
+// runStage runs a job and returns its outcome. If no owner runs it or knows its service,
+// this node does: it admitted the request, so it knows the service and its workers.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) proxy.Event {
 	outcome := s.runAtOwners(ctx, number, job)
-	if outcome != nil || ctx.Err() != nil {
+	if ctx.Err() != nil || outcome != nil && !failedFor(outcome, batch.ReasonUnknownService) {
 		return outcome
 	}
 	if event, ok := s.runAt(ctx, s.self, number, job); ok {
@@ -43,7 +43,7 @@
 		if ok {
 			outcome = event
 		}
-		if ctx.Err() != nil || ok && !lacksWorker(event) {
+		if ctx.Err() != nil || ok && !failedFor(event, batch.ReasonNoWorker) {
 			return outcome
 		}
 		if !ok {
@@ -58,10 +58,10 @@
 	return outcome
 }
 
-// lacksWorker reports whether a stage failed since its owner has no worker for it.
-func lacksWorker(e proxy.Event) bool {
+// failedFor reports whether a stage failed for a reason.
+func failedFor(e proxy.Event, reason batch.Reason) bool {
 	failed, ok := e.(proxy.StageFailed)
-	return ok && failed.Reason == batch.ReasonNoWorker
+	return ok && failed.Reason == reason
 }
 
 // runAt runs a job at a node. It returns false if the node does not run it.
