--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -345,3 +345,11 @@
 		}
 	})
 }
+
+// An owner that knows neither services nor workers yet must leave jobs to the next owner.
+func TestOwnerThatKnowsNothing(t *testing.T) {
+	h := &harness{t: t, now: start, refused: make(map[Ref]Refused)}
+	h.wantRefused(h.submit("early", "a", 1, time.Second), ReasonNotOwner)
+	h.step(SetWorkers{})
+	h.wantRefused(h.submit("other", "a", 1, time.Second), ReasonUnknownService)
+}
