--- a/batch/batch.go
+++ b/batch/batch.go
@@ -80,9 +80,6 @@
 	bytes int64
 }
 
-// maxFailures bounds the failures of a job's pieces, as a multiple of their number.
-const maxFailures = 3
-
 // Step applies an event and returns its effects, which are valid until the next call.
 func (s *Scheduler) Step(now time.Time, event Event) []Effect {
 	if s.pools == nil {
@@ -268,102 +265,6 @@
 	}
 }
 
-// callEnded handles the end of a call.
-func (s *Scheduler) callEnded(now time.Time, e CallEnded) {
-	c := s.calls[e.Call]
-	if c == nil {
-		return
-	}
-	delete(s.calls, e.Call)
-	c.worker.finish(now, c, e.Failure)
-	if e.Failure == ConnectTimeout {
-		s.markZoneSuspect(now, c.worker.upstream.Zone)
-	}
-	switch e.Failure {
-	case Full:
-		s.counts.Full++
-	case ConnectionFailed, Unreachable, ConnectTimeout:
-		s.counts.Broken++
-	}
-	for i, piece := range c.pieces {
-		c.worker.reservedBytes -= piece.bytes
-		outcome := Outcome{}
-		if e.Failure == NoFailure {
-			outcome = e.Outcomes[i]
-		}
-		s.finishPiece(now, c.worker, piece, outcome, e.Failure)
-	}
-}
-
-// markZoneSuspect marks the workers of a zone without a recent response as suspect,
-// since a network partition makes all of them unreachable at once.
-func (s *Scheduler) markZoneSuspect(now time.Time, zone string) {
-	for _, p := range s.pools {
-		for _, w := range p.workers {
-			if w.upstream.Zone == zone && now.Sub(w.lastResponse) > recentResponseAge {
-				w.health.Fail(now, backoff)
-			}
-		}
-	}
-}
-
-// finishPiece handles the outcome of one piece.
-func (s *Scheduler) finishPiece(now time.Time, w *worker, p piece, o Outcome, failure Failure) {
-	if failure == NoFailure && o.Failure == NoPieceFailure {
-		w.addResult(now, o.Handle, p.bytes)
-	}
-	j := p.job
-	if s.jobs[j.Ref] != j {
-		// The job has been dropped or replaced; nobody needs the result.
-		s.free(w, o.Handle)
-		return
-	}
-	switch {
-	case failure == Full || failure == Unreachable || failure == ConnectTimeout:
-		s.requeue(now, p, false)
-	case failure == ConnectionFailed || o.Failure == Errored:
-		s.counts.Errored++
-		s.requeue(now, p, true)
-	case o.Failure == NoRoom:
-		s.counts.NoRoom++
-		w.outOfSpace(now)
-		s.queryWorker(now, w)
-		s.requeue(now, p, false)
-	case o.Failure == InputLost:
-		s.counts.Gone++
-		s.refuse(j, ReasonInputLost, 0)
-	case o.Failure == Expired:
-		s.counts.Expired++
-		s.refuse(j, ReasonLate, s.pools[j.Service].fullCallTime())
-	default:
-		j.results[p.index] = Result{Handle: o.Handle, Addr: w.upstream.Addr, Zone: w.upstream.Zone}
-		j.remaining--
-		if j.remaining == 0 {
-			s.counts.Done++
-			delete(s.jobs, j.Ref)
-			s.emit(Done{Ref: j.Ref, Results: j.results, Service: j.Service, Took: now.Sub(j.admittedAt), Expected: j.expected})
-		}
-	}
-}
-
-// requeue puts a piece back into the queue, or refuses its job after too many failures.
-func (s *Scheduler) requeue(now time.Time, p piece, failed bool) {
-	j := p.job
-	if failed {
-		j.failures++
-	}
-	if j.failures > maxFailures*j.Pieces {
-		s.refuse(j, ReasonFailed, 0)
-		return
-	}
-	s.counts.Repeated++
-	if len(j.pending) == 0 {
-		pool := s.pools[j.Service]
-		pool.queue = append(pool.queue, j)
-	}
-	j.pending = append(j.pending, p.index)
-}
-
 // TickInterval is the interval at which the scheduler reconsiders queued jobs and frees
 // results at workers if no other event occurs.
 const TickInterval = 25 * time.Millisecond
--- /dev/null
+++ b/batch/dispatch.go
@@ -0,0 +1,217 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// dispatch sends calls to idle workers, frees results, and refuses the jobs that can no
+// longer be done in time.
+func (s *Scheduler) dispatch(now time.Time, p *pool) {
+	s.expireJobs(now, p)
+	for _, w := range p.workers {
+		if len(w.toFree) > 0 && !w.pause.Active(now) && now.Sub(w.lastFreeAt) >= freeInterval {
+			s.emit(Free{Worker: w.upstream, Handles: w.toFree})
+			w.toFree, w.lastFreeAt = nil, now
+		}
+	}
+	if len(p.queue) == 0 {
+		return
+	}
+	p.sort(now)
+	for _, w := range p.candidates(now) {
+		for w.idle(now) && s.dispatchTo(now, p, w) {
+		}
+	}
+	p.sweep()
+}
+
+// sort puts the queued jobs into the order in which they are sent: by due time, with the
+// jobs that can no longer be on time last. Under overload, late jobs would otherwise make
+// all jobs after them late too.
+func (p *pool) sort(now time.Time) {
+	soonest := now.Add(callTime(p.batch, 1))
+	late := func(j *job) int {
+		if j.Due.Before(soonest) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(p.queue, func(a, b *job) int {
+		return cmp.Or(late(a)-late(b), a.Due.Compare(b.Due))
+	})
+}
+
+// freeInterval is the minimum time between two calls that free results at a worker.
+const freeInterval = 12 * time.Millisecond
+
+// expireJobs refuses the jobs that can no longer be done in time.
+func (s *Scheduler) expireJobs(now time.Time, p *pool) {
+	earliest := now.Add(callTime(p.batch, 1))
+	for _, j := range slices.Clone(p.queue) {
+		limit := j.Deadline
+		if !j.Started && !j.sent {
+			limit = j.Due
+		}
+		if earliest.After(limit) && len(j.pending) > 0 {
+			s.refuse(j, ReasonLate, p.fullCallTime())
+		}
+	}
+	p.sweep()
+}
+
+// candidates returns the workers that can take a call or a probe now, ordered by the
+// memory that results use at them, least first.
+func (p *pool) candidates(now time.Time) []*worker {
+	usable := p.usable(now)
+	var idle []*worker
+	for _, w := range p.workers {
+		if !w.idle(now) {
+			continue
+		}
+		if !slices.Contains(usable, w) && now.Sub(w.lastProbeAt) < probeInterval {
+			continue
+		}
+		idle = append(idle, w)
+	}
+	slices.SortStableFunc(idle, func(a, b *worker) int { return cmp.Compare(a.usedBytes, b.usedBytes) })
+	return idle
+}
+
+// dispatchTo sends a worker one call of the pieces that are best done there. It reports
+// whether there may be more to send.
+func (s *Scheduler) dispatchTo(now time.Time, p *pool, w *worker) bool {
+	c := &call{worker: w, sentAt: now}
+	if p.needsProbe(now, w) {
+		s.probe(now, p, c)
+		return false
+	}
+	limit := p.maxPieces(now, w)
+	space := w.space(now)
+	spaceLimited := false
+	for _, local := range []bool{true, false} {
+		for _, j := range p.queue {
+			if (j.Zone == w.upstream.Zone) != local || !local && !p.crossesZone(now, j, w) {
+				continue
+			}
+			for len(j.pending) > 0 && len(c.pieces) < limit && j.ResultBytes <= space {
+				space -= j.ResultBytes
+				c.add(j)
+			}
+			spaceLimited = spaceLimited || len(j.pending) > 0 && len(c.pieces) < limit
+		}
+	}
+	p.fill.record(now, len(c.pieces), p.batch.MaxPieces, spaceLimited)
+	if len(c.pieces) == 0 {
+		return false
+	}
+	s.send(now, p, c)
+	return true
+}
+
+// add moves the next pending piece of a job into the call.
+func (c *call) add(j *job) {
+	c.pieces = append(c.pieces, piece{job: j, index: j.pending[0], bytes: j.ResultBytes})
+	j.pending = j.pending[1:]
+}
+
+// needsProbe reports whether the worker gets only a probe, since it has failed or is
+// slow and may not have recovered.
+func (p *pool) needsProbe(now time.Time, w *worker) bool {
+	return w.health.HasFailed() || !slices.Contains(p.usable(now), w)
+}
+
+// probe sends one piece to a worker that failed or was slow. The piece is of the job
+// that can wait longest.
+func (s *Scheduler) probe(now time.Time, p *pool, c *call) {
+	c.worker.lastProbeAt = now
+	space := c.worker.space(now)
+	for _, j := range slices.Backward(p.queue) {
+		if len(j.pending) > 0 && j.ResultBytes <= space {
+			c.add(j)
+			s.send(now, p, c)
+			return
+		}
+	}
+}
+
+// maxPieces returns how many pieces the worker should take: as many as fit into a call,
+// or a share of them if other workers in its zone are idle, since a call of fewer pieces
+// ends sooner.
+func (p *pool) maxPieces(now time.Time, w *worker) int {
+	idleSlots := 0
+	for _, other := range p.workers {
+		if other.idle(now) && other.upstream.Zone == w.upstream.Zone {
+			idleSlots += other.freeSlots()
+		}
+	}
+	share := (p.queued(w.upstream.Zone) + idleSlots - 1) / max(idleSlots, 1)
+	return min(max(share, p.batch.MaxPieces/minCallDivisor), p.batch.MaxPieces)
+}
+
+// minCallDivisor divides MaxPieces to give the lowest limit of a call, so that pieces are
+// not spread over many small calls.
+const minCallDivisor = 3
+
+const (
+	// crossZoneWait and crossZoneRate determine how long a job waits for a worker in
+	// its own zone before its results may cross zones: a fixed time, plus the result
+	// bytes divided by the rate.
+	crossZoneWait = 80 * time.Millisecond
+	crossZoneRate = 8 << 20 // bytes per second
+)
+
+// crossesZone reports whether a worker in another zone should do a job.
+func (p *pool) crossesZone(now time.Time, j *job, w *worker) bool {
+	var local []*worker
+	for _, other := range p.usable(now) {
+		if other.upstream.Zone == j.Zone {
+			local = append(local, other)
+		}
+	}
+	if len(local) == 0 {
+		return true
+	}
+	wait := p.estimateWait(now, local, p.queued(j.Zone))
+	bytes := float64(int64(j.Pieces) * j.ResultBytes)
+	maxWait := crossZoneWait + time.Duration(bytes/crossZoneRate*float64(time.Second))
+	if wait > maxWait {
+		return true
+	}
+	done := now.Add(wait + callTime(p.batch, p.batch.MaxPieces/2))
+	return done.After(j.Due)
+}
+
+// A call times out after callTimeoutFactor times its expected duration plus
+// callTimeoutGrace, so that the first call of a slow worker can still end.
+const (
+	callTimeoutFactor = 5
+	callTimeoutGrace  = 250 * time.Millisecond
+)
+
+func (s *Scheduler) send(now time.Time, p *pool, c *call) {
+	s.lastCallNumber++
+	s.counts.Calls++
+	s.counts.Items += int64(len(c.pieces))
+	c.expected = callTime(p.batch, len(c.pieces))
+	c.worker.calls = append(c.worker.calls, c)
+	s.calls[s.lastCallNumber] = c
+	effect := Call{Number: s.lastCallNumber, Worker: c.worker.upstream, Timeout: callTimeoutFactor*c.expected + callTimeoutGrace}
+	for _, piece := range c.pieces {
+		j := piece.job
+		j.sent = true
+		if j.SoleConsumer && len(j.Inputs) > 0 && len(j.pending) == 0 {
+			s.inputTimers.Add(now.Add(inputFetchTime), j.Ref)
+		}
+		c.worker.reservedBytes += piece.bytes
+		if j.Zone != c.worker.upstream.Zone {
+			s.counts.Crossed++
+			effect.Crossed++
+		}
+		effect.Items = append(effect.Items, Item{
+			Ref: j.Ref, Piece: piece.index, Key: j.Key, Inputs: j.Inputs, TimeLeft: j.Deadline.Sub(now),
+		})
+	}
+	s.emit(effect)
+}
