Share the start of calls and the check of fencing numbers in package fake

The stand-in upstream read a call and took a slot in the same lines for stages and streams, and looked up a key and checked its fencing number in the same lines for executions and lookups. Both now stand once.

--- a/fake/service.go
+++ b/fake/service.go
@@ -40,18 +40,29 @@
 func (u *Upstream) execute(key string, fence int64, body string) bool {
 	u.dataMu.Lock()
 	defer u.dataMu.Unlock()
+	state, ok := u.checkFence(key, fence)
+	if !ok {
+		return false
+	}
+	state.count++
+	state.output = StageOutput("receipt", body)
+	return true
+}
+
+// checkFence returns the state of a key. If the upstream checks fencing numbers, it rejects
+// a lower number than the highest one of the key so far, and returns false. The lock must
+// be held.
+func (u *Upstream) checkFence(key string, fence int64) (*keyState, bool) {
 	state := u.keys[key]
 	if state == nil {
 		state = &keyState{}
 		u.keys[key] = state
 	}
 	if u.config.Fenced && fence < state.minFence {
-		return false
+		return nil, false
 	}
-	state.count++
-	state.output = StageOutput("receipt", body)
 	state.minFence = max(state.minFence, fence)
-	return true
+	return state, true
 }
 
 // serveStatus serves the status of a key. If the upstream checks fencing numbers, it
@@ -61,16 +72,11 @@
 	fence, _ := strconv.ParseInt(r.Header.Get(wire.HeaderFence), 10, 64)
 	u.dataMu.Lock()
 	defer u.dataMu.Unlock()
-	state := u.keys[key]
-	if state == nil {
-		state = &keyState{}
-		u.keys[key] = state
-	}
-	if u.config.Fenced && fence < state.minFence {
+	state, ok := u.checkFence(key, fence)
+	if !ok {
 		http.Error(w, "fencing number is too low", http.StatusPreconditionFailed)
 		return
 	}
-	state.minFence = max(state.minFence, fence)
 	writeJSON(w, wire.KeyStatus{Seen: state.count > 0, Finished: state.finished, Output: state.output})
 }
 
--- a/fake/upstream.go
+++ b/fake/upstream.go
@@ -90,8 +90,8 @@
 // Handler returns the HTTP interface.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /stage", u.serveStage)
-	mux.HandleFunc("POST /stream", u.serveStream)
+	mux.HandleFunc("POST /stage", u.withSlot(u.serveStage))
+	mux.HandleFunc("POST /stream", u.withSlot(u.serveStream))
 	mux.HandleFunc("POST /cancel", u.serveCancel)
 	mux.HandleFunc("GET /load", u.serveLoad)
 	mux.HandleFunc("POST /call", u.serveCall)
@@ -175,16 +175,22 @@
 	return call, true
 }
 
-func (u *Upstream) serveStage(w http.ResponseWriter, r *http.Request) {
-	call, ok := u.readCall(w, r)
-	if !ok {
-		return
-	}
-	ctx, release, acquired := u.acquireSlot(r.Context(), callID(call.Request, call.Stage, call.Attempt))
-	defer release()
-	if !acquired {
-		return
+// withSlot returns a handler that runs a call of a stage once it has a slot.
+func (u *Upstream) withSlot(serve func(context.Context, http.ResponseWriter, wire.StageCall)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		call, ok := u.readCall(w, r)
+		if !ok {
+			return
+		}
+		ctx, release, acquired := u.acquireSlot(r.Context(), callID(call.Request, call.Stage, call.Attempt))
+		defer release()
+		if acquired {
+			serve(ctx, w, call)
+		}
 	}
+}
+
+func (u *Upstream) serveStage(ctx context.Context, w http.ResponseWriter, call wire.StageCall) {
 	sleep(ctx, u.latency())
 	if ctx.Err() != nil {
 		return
@@ -199,16 +205,7 @@
 	writeJSON(w, reply)
 }
 
-func (u *Upstream) serveStream(w http.ResponseWriter, r *http.Request) {
-	call, ok := u.readCall(w, r)
-	if !ok {
-		return
-	}
-	ctx, release, acquired := u.acquireSlot(r.Context(), callID(call.Request, call.Stage, call.Attempt))
-	defer release()
-	if !acquired {
-		return
-	}
+func (u *Upstream) serveStream(ctx context.Context, w http.ResponseWriter, call wire.StageCall) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	latency := u.latency()
 	if u.usePrefix(call.Prefix) {
