--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -111,11 +111,7 @@
 			if got := d.nodes[0].server.stageOwner("a").ID; got == "node-0" {
 				t.Fatalf("owner is %q, want a new node", got)
 			}
-			r := d.ask(d.nodes[0], stand.PathStream)
-			wantStatus(t, r, http.StatusOK)
-			if r.body != allEvents {
-				t.Errorf("events are %q, want all", r.body)
-			}
+			d.wantStream(d.nodes[0])
 		})
 	}
 }
@@ -125,11 +121,7 @@
 func TestStreamRefusedByOwnerWithOlderConfiguration(t *testing.T) {
 	d := deploy(t, 1)
 	d.addIdleOwner("new").owner.step(batch.SetWorkers{Services: []fleet.Service{{Name: stand.ServiceDesk}}})
-	r := d.ask(d.nodes[0], stand.PathStream)
-	wantStatus(t, r, http.StatusOK)
-	if r.body != allEvents {
-		t.Errorf("events are %q, want all", r.body)
-	}
+	d.wantStream(d.nodes[0])
 	if got := d.nodes[0].server.stageOwner("a").ID; got != "new" {
 		t.Errorf("owner is %q after the job, want the same one", got)
 	}
@@ -155,3 +147,13 @@
 	d.nodes[0].server.memberStep(member.DigestReceived{Digest: member.Digest{From: s.self}})
 	return s
 }
+
+// wantStream sends a request for a stream to a node and checks that the answer is whole.
+func (d *deployment) wantStream(n *testNode) {
+	d.t.Helper()
+	r := d.ask(n, stand.PathStream)
+	wantStatus(d.t, r, http.StatusOK)
+	if r.body != allEvents {
+		d.t.Errorf("events are %q, want all", r.body)
+	}
+}
