--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -35,6 +35,12 @@
 	a.conn.putBack(a.response.Header)
 }
 
+// discard reads the rest of an answer that is not passed on.
+func (a *answer) discard() {
+	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes))
+	a.finish(err == nil)
+}
+
 // send makes an attempt and handles the head of its answer.
 func (x *exchange) send(e proxy.Send) {
 	a, failure := x.startAttempt(e)
@@ -55,8 +61,7 @@
 	x.answer = a
 	effects := x.server.step(proxy.HeadReceived{Number: e.Number, Attempt: e.Attempt, Head: head})
 	if !delivers(effects) {
-		_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes))
-		a.finish(err == nil)
+		a.discard()
 		x.answer = nil
 	}
 	x.perform(effects)
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -102,7 +102,11 @@
 	c.mu.Lock()
 	c.made++
 	c.mu.Unlock()
-	return &conn{Conn: raw, pool: c, endpoint: dest, reader: bufio.NewReaderSize(raw, readChunkSize)}, nil
+	return newConn(raw, c, dest), nil
+}
+
+func newConn(raw net.Conn, pool *connPool, dest endpoint) *conn {
+	return &conn{Conn: raw, pool: pool, endpoint: dest, reader: bufio.NewReaderSize(raw, readChunkSize)}
 }
 
 // popIdle removes and returns the newest idle connection, or nil if there is none.
