Bound the head of an upstream's answer

Callers of an upstream that sends a head or interim responses without end waited for their deadline and got a 504, and the host stored all of it meanwhile.

Cause: http.ReadResponse bounds neither lines nor headers; http.Transport, which relay/conns.go replaces, does so below it. A connection now reads at most 32 KiB until a head ends, interim responses included, and then fails: the attempt is over at that moment, its connection is closed, the upstream counts as failed, and the request is retried or gets its 502. The decision log names the failure overlong.

--- a/proxy/event.go
+++ b/proxy/event.go
@@ -164,6 +164,8 @@
 	ResponseMismatch Failure = "crossed"
 	// ResponseTimeout means that the upstream sent nothing for longer than usual.
 	ResponseTimeout Failure = "silent"
+	// ResponseTooLong means that the response exceeded a bound, as one without end does.
+	ResponseTooLong Failure = "overlong"
 )
 
 // An Effect is an output of the reducer.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,16 +105,23 @@
 	if err != nil {
 		stop()
 		c.Close()
-		failure := proxy.ConnectionFailed
-		if isTimeout(err) {
-			failure = proxy.ResponseTimeout
-		}
-		return nil, failure
+		return nil, failureOf(err)
 	}
 	x.server.observeNotice(e.Upstream, response)
 	return &answer{send: e, response: response, conn: c, stop: stop}, ""
 }
 
+// failureOf returns the failure for an error of reading an answer.
+func failureOf(err error) proxy.Failure {
+	switch {
+	case errors.Is(err, errResponseTooLong):
+		return proxy.ResponseTooLong
+	case isTimeout(err):
+		return proxy.ResponseTimeout
+	}
+	return proxy.ConnectionFailed
+}
+
 // newRequest returns the request of an attempt. This package writes it to the
 // connection itself, exactly once, so no lower layer retries it.
 func (x *exchange) newRequest(e proxy.Send) (*http.Request, error) {
@@ -254,9 +261,5 @@
 		x.step(x.endEvent())
 		return
 	}
-	failure := proxy.ConnectionFailed
-	if isTimeout(err) {
-		failure = proxy.ResponseTimeout
-	}
-	x.step(x.failureEvent(a.send.Attempt, failure))
+	x.step(x.failureEvent(a.send.Attempt, failureOf(err)))
 }
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -75,7 +75,12 @@
 	net.Conn
 	pool     *connPool
 	endpoint endpoint
-	reader   *bufio.Reader
+	// reader reads from the connection through Read, which bounds heads.
+	reader *bufio.Reader
+	// inHead is true while the head of an answer is read. headLeft is then the number of
+	// bytes that may still be read for it.
+	inHead   bool
+	headLeft int
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
 	// peekResult receives the error of the read that monitors an idle connection.
@@ -106,7 +111,29 @@
 }
 
 func newConn(raw net.Conn, pool *connPool, dest endpoint) *conn {
-	return &conn{Conn: raw, pool: pool, endpoint: dest, reader: bufio.NewReaderSize(raw, readChunkSize)}
+	c := &conn{Conn: raw, pool: pool, endpoint: dest}
+	c.reader = bufio.NewReaderSize(c, readChunkSize)
+	return c
+}
+
+// maxHeadBytes bounds the head of an answer together with the interim responses that
+// precede it.
+const maxHeadBytes = 32 << 10
+
+// errResponseTooLong means that a response exceeds a bound, as one without end does.
+var errResponseTooLong = errors.New("response is too long")
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft == 0 {
+		return 0, errResponseTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err // bufio and net/http compare the error, so it must not be wrapped.
 }
 
 // popIdle removes and returns the newest idle connection, or nil if there is none.
@@ -229,6 +256,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
