Close a connection on which a refusal was only partly read

A refusal's body is read so that its connection can be used again, at most 64 KiB of it. A longer body also left its connection in the pool: io.Copy of a limited reader ends without an error. If the rest had not arrived by the next use, the next request would have met it in place of its answer; only the id of an answer would have told.

The connection is now closed unless the body ended within the limit. TestPartlyReadRefusal failed before (the connection was kept) and passes now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,8 +37,8 @@
 
 // discard reads the rest of an answer that is not passed on.
 func (a *answer) discard() {
-	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes))
-	a.finish(err == nil)
+	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes+1))
+	a.finish(err == nil && n <= maxDiscardBytes)
 }
 
 // send makes an attempt and handles the head of its answer.
