Bound the time for the rest of a refusal

A request whose upstream refused it with a body that trickled, or stopped, waited for that body until its deadline and got a 504, although the refusal had been read and another upstream was free: a refusal's body is read to its end, so that the connection can be used again, before the request goes to the next upstream, and nothing but the request's deadline bounded that.

It now gets 100 ms, then the connection is closed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"teaselplank/fleet"
 	"teaselplank/proxy"
@@ -35,8 +36,10 @@
 	a.conn.putBack(a.response.Header)
 }
 
-// discard reads the rest of an answer that is not passed on.
+// discard reads the rest of an answer that is not passed on, if it is short and arrives
+// soon. The request has to wait meanwhile.
 func (a *answer) discard() {
+	a.conn.setReadTimeout(discardTimeout)
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardBytes+1))
 	a.finish(err == nil && n <= maxDiscardBytes)
 }
@@ -67,8 +70,11 @@
 	x.perform(effects)
 }
 
-// maxDiscardBytes bounds what is read of an answer that is not passed on.
-const maxDiscardBytes = 64 << 10
+// maxDiscardBytes and discardTimeout bound reading an answer that is not passed on.
+const (
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
+)
 
 func delivers(effects []proxy.Effect) bool {
 	for _, e := range effects {
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -269,13 +269,11 @@
 	}
 }
 
-// setReadTimeout bounds the wait for the next bytes, unless the context has ended.
-func (c *conn) setReadTimeout(ctx context.Context, timeout time.Duration) {
-	if ctx.Err() == nil {
-		// Setting a deadline fails only on a closed connection; the next read
-		// returns that error.
-		_ = c.SetReadDeadline(time.Now().Add(timeout))
-	}
+// setReadTimeout bounds the time of all reads from now on.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	// Setting a deadline fails only on a closed connection; the next read returns that
+	// error.
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // interrupt ends the current read with a timeout.
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -220,7 +220,7 @@
 		return 0, nil, nil, batch.ConnectionFailed
 	}
 	s.observeNotice(u, response)
-	c.setReadTimeout(ctx, timeout)
+	c.setReadTimeout(timeout)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		c.Close()
