Bound the memory of the bodies that are read before they are passed on

An answer that is not a stream is read whole before it is passed on, up to 16 MiB of it.

Weighed: one small bound for each answer (a host of 184 MB with some hundred in flight bears about 300 KB each) would refuse sound long answers at all times. Instead each answer may take 64 KiB, and all together 32 MiB beyond that, in chunks of 64 KiB; an answer may have 4 MiB, like a client's body by default. Where the pool is used up, long answers fail and short ones are still read. Bodies are kept in chunks, as growing one slice needs up to twice its size.

A body that exceeds a bound fails its attempt at once as overlong.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -178,27 +178,23 @@
 		x.stream(a)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes+1))
-	whole := err == nil && len(body) <= maxAnswerBytes
-	a.finish(whole)
+	body, err := x.server.bodies.read(a.response.Body)
+	a.finish(err == nil)
 	switch {
-	case x.context.Err() != nil && !whole:
+	case err != nil && x.context.Err() != nil:
 		x.step(x.endEvent())
-	case !whole:
-		x.step(x.failureEvent(a.send.Attempt, proxy.ConnectionFailed))
+	case err != nil:
+		x.step(x.failureEvent(a.send.Attempt, failureOf(err)))
 	default:
+		defer body.release()
 		x.copyHeader(a)
-		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		x.writer.Header().Set("Content-Length", strconv.Itoa(body.size))
 		x.writer.WriteHeader(a.response.StatusCode)
-		// If the write fails, the client has disconnected.
-		_, _ = x.writer.Write(body)
+		body.writeTo(x.writer)
 		x.reportFinished(a)
 	}
 }
 
-// maxAnswerBytes bounds an answer that is not a stream.
-const maxAnswerBytes = 16 << 20
-
 func (x *exchange) reportFinished(a *answer) {
 	x.finished = true
 	x.step(proxy.Finished{Number: x.request.Number, Attempt: a.send.Attempt, Status: a.response.StatusCode})
--- /dev/null
+++ b/relay/body_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func TestBodies(t *testing.T) {
+	errReset := errors.New("connection is reset")
+	of := func(size int) string { return strings.Repeat("x", size) }
+	for _, c := range []struct {
+		name   string
+		reader io.Reader
+		size   int
+		err    error
+	}{
+		{"empty", strings.NewReader(""), 0, nil},
+		{"short", strings.NewReader(of(800)), 800, nil},
+		{"one chunk", strings.NewReader(of(bodyChunkSize)), bodyChunkSize, nil},
+		{"as long as allowed", strings.NewReader(of(maxAnswerBytes)), maxAnswerBytes, nil},
+		{"without end", newEndlessReader("x"), 0, errResponseTooLong},
+		{"truncated", io.MultiReader(strings.NewReader(of(bodyChunkSize+1)), iotest.ErrReader(io.ErrUnexpectedEOF)), 0, io.ErrUnexpectedEOF},
+		{"reset", io.MultiReader(strings.NewReader("x"), iotest.ErrReader(errReset)), 0, errReset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var pool bodyPool
+			b, err := pool.read(c.reader)
+			if !errors.Is(err, c.err) {
+				t.Fatalf("error is %v, want %v", err, c.err)
+			}
+			if err == nil {
+				wantBody(t, b, of(c.size))
+				b.release()
+			}
+			if n := pool.extraChunks.Load(); n != 0 {
+				t.Errorf("%d chunks are in use after the end, want 0", n)
+			}
+		})
+	}
+}
+
+func wantBody(t *testing.T, b *body, want string) {
+	t.Helper()
+	var got bytes.Buffer
+	b.writeTo(&got)
+	if b.size != len(want) || got.String() != want {
+		t.Errorf("body has %d bytes and the size %d, want %d", got.Len(), b.size, len(want))
+	}
+}
+
+// Short answers must still be read while long ones use up the pool.
+func TestShortBodyBesideLongOnes(t *testing.T) {
+	var pool bodyPool
+	for pool.acquire() {
+	}
+	b, err := pool.read(strings.NewReader("short"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantBody(t, b, "short")
+	if _, err := pool.read(strings.NewReader(strings.Repeat("x", 2*bodyChunkSize))); !errors.Is(err, errResponseTooLong) {
+		t.Errorf("error of a long body is %v, want %v", err, errResponseTooLong)
+	}
+	if n := pool.extraChunks.Load(); n != maxExtraChunks {
+		t.Errorf("%d chunks are in use, want %d", n, maxExtraChunks)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -105,6 +105,7 @@
 	owner    *owner
 	peers    *peers
 	conns    *connPool
+	bodies   bodyPool
 	releases releaseQueue
 
 	// restored gets a value when the store was restored.
