Buffer at most 128 KiB of an event

An event without end was buffered up to 1 MiB, which for 300 streams at a time is more than a host of 184 MB has; append needs up to twice the size while it grows. The bound is now 128 KiB, and its failure is logged as overlong. The stream is resumed at another upstream or ends with an error, as before.

TestEndlessEvent failed before (1 MiB read of each) and passes now, twice under the race detector.

--- a/relay/events.go
+++ b/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
@@ -29,12 +30,12 @@
 	// readChunkSize is the size of one read in bytes, and maxEventBytes bounds an
 	// event.
 	readChunkSize = 4 << 10
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 )
 
 // Errors of streams.
 var (
-	errEventTooLong   = errors.New("event is too long")
+	errEventTooLong   = fmt.Errorf("read event: %w", errResponseTooLong)
 	errEventTruncated = errors.New("stream ends within an event")
 )
 
