Do not count comments as progress of a stream

A client whose upstream sent comments without end received them until its deadline and then saw its stream cut, although the stream could have been resumed: each comment, like any other block that ends with a blank line, passed as an event. It reset the idle timeout, counted as the first event, and released the request's stage results.

Blocks without data and without an id, which a client's parser does not deliver either, are now passed on with the event that follows or at the orderly end of the stream. They share that event's bound, so comments that come fast fail as overlong at 128 KiB, and those that come slowly are a stalled stream. What a client reads of a sound stream is unchanged.

--- a/relay/events.go
+++ b/relay/events.go
@@ -9,10 +9,13 @@
 )
 
 // An eventReader splits a stream into whole events. For a resumed stream, it skips
-// the events up to the last one that was delivered.
+// the events up to the last one that was delivered. Comments and other blocks that are no
+// events are passed on with the event that follows, so that they do not count as progress.
 type eventReader struct {
 	reader io.Reader
 	buffer []byte
+	// held is the length of the blocks at the start of the buffer that are no events.
+	held int
 	// after is the number of the last event to skip, or -1.
 	after   int64
 	readErr error
@@ -28,7 +31,7 @@
 
 const (
 	// readChunkSize is the size of one read in bytes, and maxEventBytes bounds an
-	// event.
+	// event together with the blocks before it that are no events.
 	readChunkSize = 4 << 10
 	maxEventBytes = 128 << 10
 )
@@ -46,6 +49,9 @@
 		if data, id = e.cutEvents(); len(data) > 0 {
 			return data, id, nil
 		}
+		if e.readErr == io.EOF && e.held > 0 {
+			return e.cut(e.held), "", nil
+		}
 		if e.readErr != nil {
 			return nil, "", e.endError()
 		}
@@ -67,29 +73,52 @@
 }
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnd  = []byte("\n\n")
+	dataField = []byte("data:")
+	idField   = []byte("id:")
 )
 
 // cutEvents removes the whole events from the buffer and returns them.
 func (e *eventReader) cutEvents() (data []byte, id string) {
 	for {
-		event, rest, ok := bytes.Cut(e.buffer, eventEnd)
+		block, rest, ok := bytes.Cut(e.buffer[e.held:], eventEnd)
 		if !ok {
 			return data, id
 		}
-		e.buffer = rest
-		ownID := eventID(event)
+		if !isEvent(block) {
+			e.held = len(e.buffer) - len(rest)
+			continue
+		}
+		event := e.cut(len(e.buffer) - len(rest))
+		ownID := eventID(block)
 		if number, err := strconv.ParseInt(ownID, 10, 64); err == nil && number <= e.after {
 			continue
 		}
-		data = append(append(data, event...), eventEnd...)
+		data = append(data, event...)
 		if ownID != "" {
 			id = ownID
 		}
 	}
 }
 
+// cut removes the first bytes from the buffer and returns them.
+func (e *eventReader) cut(size int) []byte {
+	data := e.buffer[:size]
+	e.buffer, e.held = e.buffer[size:], 0
+	return data
+}
+
+// isEvent reports whether a block has data or an id. Others, such as comments, do not
+// reach a client's application.
+func isEvent(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if bytes.HasPrefix(line, dataField) || bytes.HasPrefix(line, idField) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the id of an event, or an empty string.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -28,6 +28,11 @@
 		{"resumed after an event", strings.NewReader(stream), "1", "id: 2\ndata: b\n\ndata: c\n\n", "2", io.EOF},
 		{"ends within an event", strings.NewReader(stream + "id: 3\nda"), "", stream, "2", errEventTruncated},
 		{"reset within an event", io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2"), iotest.ErrReader(errReset)), "", "id: 1\ndata: a\n\n", "1", errReset},
+		{"comments between events", strings.NewReader(": c\n\n" + stream + ": d\n\nid: 3\ndata: e\n\n"), "", ": c\n\n" + stream + ": d\n\nid: 3\ndata: e\n\n", "3", io.EOF},
+		{"comments before an event that is skipped", strings.NewReader(": c\n\n" + stream), "1", "id: 2\ndata: b\n\ndata: c\n\n", "2", io.EOF},
+		{"comment at the end", strings.NewReader(stream + ": c\n\n"), "", stream + ": c\n\n", "2", io.EOF},
+		{"comment before a truncated event", strings.NewReader(stream + ": c\n\nid: 3"), "", stream + ": c\n\n", "2", errEventTruncated},
+		{"reset after a comment", io.MultiReader(strings.NewReader(stream+": c\n\n"), iotest.ErrReader(errReset)), "", stream, "2", errReset},
 		{"empty", strings.NewReader(""), "", "", "", io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
