Fail a stage call whose reply is too long

Of a reply of a stage worker without end, the first 16 MiB were taken as the whole reply, and the connection went back to the pool with the rest of the reply unread, where the next call could meet it. The replies are JSON of a few kilobytes.

A reply beyond 256 KiB now fails its call and closes the connection, for calls that run pieces, free results or ask for a report; the pieces run at another worker.

--- a/relay/owner.go
+++ b/relay/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -221,7 +222,7 @@
 	}
 	s.observeNotice(u, response)
 	c.setReadTimeout(timeout)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readReply(response.Body)
 	if err != nil {
 		c.Close()
 		s.metrics.countUpstreamFailure(u.Service, "read")
@@ -234,3 +235,18 @@
 	}
 	return response.StatusCode, response.Header, body, batch.NoFailure
 }
+
+// maxReplyBytes bounds the reply of a stage worker.
+const maxReplyBytes = 256 << 10
+
+// readReply reads the whole reply of a stage worker.
+func readReply(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read reply: %w", err)
+	}
+	if len(data) > maxReplyBytes {
+		return nil, fmt.Errorf("read reply: %w", errResponseTooLong)
+	}
+	return data, nil
+}
