Count the body of a stage reply against the call's timeout

A stage call whose reply came slowly took up to twice its timeout: the timeout applied once to the head and again to the body. The pieces of the call, and the calls queued behind it, waited as long. It now applies to both together, from the moment the call is sent. TestSlowStageReply failed before (701 ms for 400 ms) and passes now, twice under the race detector.

--- a/relay/owner.go
+++ b/relay/owner.go
@@ -214,6 +214,7 @@
 	if err != nil {
 		return 0, nil, nil, batch.Unreachable
 	}
+	sent := time.Now()
 	response, err := c.roundTrip(r, int(r.ContentLength), timeout)
 	if err != nil {
 		c.Close()
@@ -221,7 +222,7 @@
 		return 0, nil, nil, batch.ConnectionFailed
 	}
 	s.observeNotice(u, response)
-	c.setReadTimeout(timeout)
+	c.setReadTimeout(time.Until(sent.Add(timeout)))
 	body, err := readReply(response.Body)
 	if err != nil {
 		c.Close()
