Bound replies of other nodes

The address of a node that is gone may belong to another process. A reply from there without end was read for as long as the call lasted, which for a stage is the request's deadline: the generated clients read a reply whole.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -57,8 +57,28 @@
 
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &peers{client: &http.Client{Transport: transport}, byAddr: make(map[string]*peerConn)}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	return &peers{client: &http.Client{Transport: boundedTransport{transport}}, byAddr: make(map[string]*peerConn)}
+}
+
+// maxPeerBytes bounds a message from another node, of which the upstreams of a large
+// deployment are the longest.
+const maxPeerBytes = 8 << 20
+
+// A boundedTransport bounds the bodies of responses, which the generated clients read
+// whole.
+type boundedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := b.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, fmt.Errorf("call node: %w", err)
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxPeerBytes)
+	return response, nil
 }
 
 // getOrCreate returns the entry of a node. The lock must be held.
