Bound requests of other nodes

The port for other nodes read any request whole: one without end took memory until its sender closed. Requests there are now bounded to 8 MiB, as replies are.

--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -399,3 +399,20 @@
 		t.Errorf("%d bytes were sent, want at most %d", n, hostMemory/4)
 	}
 }
+
+// A request without end on the port for other nodes must be refused.
+func TestEndlessPeerRequest(t *testing.T) {
+	d := deploy(t, 1)
+	var sent atomic.Int64
+	body := countingReader{io.LimitReader(newEndlessReader("x"), hostMemory/2), &sent}
+	url := "http://" + d.nodes[0].server.settings.Peers + peerpb.PeerPathPrefix + "State"
+	if r, err := http.Post(url, "application/protobuf", body); err == nil {
+		r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			t.Error("an endless request was accepted")
+		}
+	}
+	if n := sent.Load(); n > hostMemory/4 {
+		t.Errorf("%d bytes were sent, want at most %d", n, hostMemory/4)
+	}
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -188,7 +188,7 @@
 	stagesServer := peerpb.NewStagesServer(stageService{s})
 	mux.Handle(gossipServer.PathPrefix(), gossipServer)
 	mux.Handle(stagesServer.PathPrefix(), stagesServer)
-	return mux
+	return http.MaxBytesHandler(mux, maxPeerBytes)
 }
 
 // peerService implements peerpb.Peer.
