--- a/soak/soak.go
+++ b/soak/soak.go
@@ -304,7 +304,9 @@
 var injectedFaults = []stand.Fault{stand.FaultRefuse, stand.FaultDropConnection, stand.FaultServerError, stand.FaultWrongID, stand.FaultTruncateStream, stand.FaultExtraResponse}
 
 // drillFaults are the additional faults of upstreams in runs with drills.
-var drillFaults = []stand.Fault{stand.FaultNoSeal, stand.FaultTruncateBody, stand.FaultLateCopy, stand.FaultStallStream}
+var drillFaults = slices.Concat(
+	[]stand.Fault{stand.FaultNoSeal, stand.FaultTruncateBody, stand.FaultLateCopy, stand.FaultStallStream}, stand.EndlessFaults,
+)
 
 func (o Options) faults() []stand.Fault {
 	if o.Drills {
