Close an idle connection when bytes arrive on it

An upstream that answers and goes on sending kept its connection to the host open: bytes that arrive on an idle connection make it unusable, but it was closed only when a request would have used it or when it expired, up to 8 s later. Until then the system buffers what comes, some megabytes for each of up to 32 connections to an upstream, which count as the host's memory. It is now closed at once, as is one that the upstream has closed.

TestEndlessExtraBytes failed before (in both parts) and passes now, twice under the race detector, with the tests of unused connections and of the faults of workers.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -211,6 +211,10 @@
 	c.peekResult = make(chan error, 1)
 	go func() {
 		_, err := c.reader.Peek(1)
+		if !isTimeout(err) {
+			// Bytes that belong to no request, or the end of the connection.
+			c.Close()
+		}
 		c.peekResult <- err
 	}()
 	c.pool.put(c)
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -70,6 +70,7 @@
 	if took := time.Since(started); took > promptly {
 		t.Errorf("answer to %s took %s, want at most %s", path, took, promptly)
 	}
+	answered := time.Now()
 	d.await("the connections are closed", func() bool {
 		for _, w := range d.workers {
 			if w.EndlessResponses() > 0 {
@@ -78,6 +79,9 @@
 		}
 		return true
 	})
+	if took := time.Since(answered); took > promptly {
+		t.Errorf("connections were closed %s after the answer, want at most %s", took, promptly)
+	}
 	return r
 }
 
@@ -279,6 +283,37 @@
 	})
 }
 
+// A connection on which bytes arrive after a complete answer must be closed before its next
+// use, as the system's buffers would fill up.
+func TestEndlessExtraBytes(t *testing.T) {
+	t.Run("on an idle connection", func(t *testing.T) {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		newConn(ours, newConnPool(), endpoint{}).putBack(nil)
+		if _, err := io.WriteString(theirs, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if err := theirs.SetReadDeadline(time.Now().Add(promptly)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := theirs.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("connection has the error %v, want it closed", err)
+		}
+	})
+	t.Run(string(stand.FaultEndlessExtra), func(t *testing.T) {
+		d := deploy(t, 1)
+		d.setFaults(stand.ServiceDesk, stand.FaultEndlessExtra)
+		for range 4 {
+			r := d.askPromptly(t, stand.PathUnsafe)
+			wantStatus(t, r, http.StatusOK)
+			if want := "answer to " + r.id; r.body != want {
+				t.Errorf("body is %q, want %q", r.body, want)
+			}
+			d.wantRuns(r.id, stand.ServiceDesk, 1, 1)
+		}
+	})
+}
+
 // An event without end must not cost more memory than any other response.
 func TestEndlessEvent(t *testing.T) {
 	for name, text := range map[string]string{"one line": "x", "lines": "data: x\n"} {
