Do not reuse a connection that died while it was idle

After a cut of some seconds, requests were sent on connections that TCP had already given up on, and failed: a request that may run at most once got a 502 although it had reached nobody.

Cause: revalidate ends the read that monitors an idle connection with a deadline, and takes any timeout for that deadline. A connection whose keep-alive probes stay unanswered (4 s, while a connection may be idle for 8 s or more) fails with a timeout of the system, ETIMEDOUT, which net.Error reports as one too. It now asks for the deadline's own error.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -185,7 +185,7 @@
 		return false
 	}
 	err := <-c.peekResult
-	if !isTimeout(err) || c.reader.Buffered() > 0 {
+	if !isDeadline(err) || c.reader.Buffered() > 0 {
 		return false
 	}
 	return c.SetReadDeadline(time.Time{}) == nil
@@ -211,7 +211,7 @@
 	c.peekResult = make(chan error, 1)
 	go func() {
 		_, err := c.reader.Peek(1)
-		if !isTimeout(err) {
+		if !isDeadline(err) {
 			// Bytes that belong to no request, or the end of the connection.
 			c.Close()
 		}
@@ -286,6 +286,10 @@
 	_ = c.SetReadDeadline(expired)
 }
 
+// isDeadline reports whether an operation ended at a deadline that this program set. A
+// connection whose other end no longer answers has a timeout as well, but is dead.
+func isDeadline(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // isTimeout reports whether an operation on a connection timed out.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -241,6 +243,25 @@
 	}
 }
 
+// A deadConn is a connection whose other end no longer answers the probes of TCP.
+type deadConn struct{ net.Conn }
+
+func (deadConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
+// A connection that died while it was idle must not be reused: nothing that is sent on it
+// arrives, yet a request that runs at most once could not be sent again.
+func TestDeadConnection(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	pool := newConnPool()
+	newConn(deadConn{ours}, pool, endpoint{}).putBack(nil)
+	if pool.popIdle(endpoint{}).revalidate() {
+		t.Error("dead connection is reused")
+	}
+}
+
 // A leaving worker must get no new requests once the nodes know that it leaves.
 func TestDraining(t *testing.T) {
 	d := deploy(t, 2)
