--- a/proxy/event.go
+++ b/proxy/event.go
@@ -183,6 +183,8 @@
 	ResponseMismatch Failure = "crossed"
 	// ResponseTimeout means that the upstream sent nothing for longer than usual.
 	ResponseTimeout Failure = "silent"
+	// ResponseTooLong means that the response exceeded a bound, as one without end does.
+	ResponseTooLong Failure = "overlong"
 )
 
 // Unsent reports whether nothing was sent to the upstream.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -111,7 +111,7 @@
 		return
 	}
 	if err != nil && err != io.EOF {
-		x.attemptFailed(t, readFailure(err), err)
+		x.attemptFailed(t, failureOf(err), err)
 		return
 	}
 	x.received(t)
@@ -153,20 +153,20 @@
 	x.writer.WriteHeader(t.response.StatusCode)
 }
 
-// bodyRead writes an answer that is not a stream.
-func (x *exchange) bodyRead(t *attempt, body []byte, err error) {
+// bodyRead writes an answer that is not a stream. The body is nil if there is an error.
+func (x *exchange) bodyRead(t *attempt, b *body, err error) {
+	defer b.release()
 	if !x.isOpen(t) {
 		return
 	}
 	if err != nil {
-		x.attemptFailed(t, proxy.ConnectionFailed, err)
+		x.attemptFailed(t, failureOf(err), err)
 		return
 	}
 	x.copyHeader(t)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.Header().Set("Content-Length", strconv.Itoa(b.size))
 	x.writer.WriteHeader(t.response.StatusCode)
-	// If the write fails, the client has disconnected.
-	_, _ = x.writer.Write(body)
+	b.writeTo(x.writer)
 	x.reportFinished(t)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"teaselplank/fleet"
 	"teaselplank/proxy"
@@ -53,8 +54,7 @@
 	case !ok:
 		t.finish(false)
 	case !t.delivers:
-		_, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxDiscardBytes))
-		t.finish(err == nil)
+		t.discard()
 	case t.isStream():
 		t.readEvents()
 	default:
@@ -62,8 +62,11 @@
 	}
 }
 
-// maxDiscardBytes bounds what is read of an answer that is not passed on.
-const maxDiscardBytes = 64 << 10
+// maxDiscardBytes and discardTimeout bound reading an answer that is not passed on.
+const (
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
+)
 
 // open sends the request and reads the head of the answer.
 func (t *attempt) open(ctx context.Context) (proxy.Failure, error) {
@@ -90,21 +93,13 @@
 	if err != nil {
 		stop()
 		c.Close()
-		return readFailure(err), err
+		return failureOf(err), err
 	}
 	x.server.observeNotice(t.send.Upstream, response)
 	t.conn, t.response, t.stopClosing = c, response, stop
 	return "", nil
 }
 
-// readFailure returns the failure of an attempt whose connection has failed.
-func readFailure(err error) proxy.Failure {
-	if isTimeout(err) {
-		return proxy.ResponseTimeout
-	}
-	return proxy.ConnectionFailed
-}
-
 // finish returns the connection to the pool if the whole answer was read, and closes
 // it otherwise.
 func (t *attempt) finish(whole bool) {
@@ -115,6 +110,14 @@
 	t.conn.putBack(t.response.Header)
 }
 
+// discard reads the rest of an answer that is not passed on, if it is short and arrives
+// soon.
+func (t *attempt) discard() {
+	t.conn.setReadTimeout(discardTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxDiscardBytes+1))
+	t.finish(err == nil && n <= maxDiscardBytes)
+}
+
 func (t *attempt) isStream() bool {
 	return t.send.Route.Kind == fleet.Stream && t.response.StatusCode == http.StatusOK
 }
@@ -139,21 +142,25 @@
 	}
 }
 
-// maxAnswerBytes bounds an answer that is not a stream.
-const maxAnswerBytes = 16 << 20
-
-// errAnswerTooLong means that an answer exceeds maxAnswerBytes.
-var errAnswerTooLong = errors.New("answer is too long")
-
 // readBody passes the body on once it is complete.
 func (t *attempt) readBody() {
 	x := t.exchange
-	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
+	b, err := x.server.bodies.read(t.response.Body)
 	t.finish(err == nil)
-	x.post(func() { x.bodyRead(t, body, err) })
+	if !x.post(func() { x.bodyRead(t, b, err) }) {
+		b.release()
+	}
+}
+
+// failureOf returns the failure for an error of reading an answer.
+func failureOf(err error) proxy.Failure {
+	switch {
+	case errors.Is(err, errResponseTooLong):
+		return proxy.ResponseTooLong
+	case isTimeout(err):
+		return proxy.ResponseTimeout
+	}
+	return proxy.ConnectionFailed
 }
 
 // newRequest returns the request of an attempt. This package writes it to the
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -81,7 +81,12 @@
 	net.Conn
 	pool     *connPool
 	endpoint endpoint
-	reader   *bufio.Reader
+	// reader reads from the connection through Read, which bounds heads.
+	reader *bufio.Reader
+	// inHead is true while the head of an answer is read. headLeft is then the number of
+	// bytes that may still be read for it.
+	inHead   bool
+	headLeft int
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
 	// peekResult receives the error of the read that monitors an idle connection.
@@ -108,7 +113,33 @@
 	c.mu.Lock()
 	c.made++
 	c.mu.Unlock()
-	return &conn{Conn: raw, pool: c, endpoint: dest, reader: bufio.NewReaderSize(raw, readChunkSize)}, nil
+	return newConn(raw, c, dest), nil
+}
+
+func newConn(raw net.Conn, pool *connPool, dest endpoint) *conn {
+	c := &conn{Conn: raw, pool: pool, endpoint: dest}
+	c.reader = bufio.NewReaderSize(c, readChunkSize)
+	return c
+}
+
+// maxHeadBytes bounds the head of an answer together with the interim responses that
+// precede it.
+const maxHeadBytes = 32 << 10
+
+// errResponseTooLong means that a response exceeds a bound, as one without end does.
+var errResponseTooLong = errors.New("response is too long")
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft == 0 {
+		return 0, errResponseTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err // bufio and net/http compare the error, so it must not be wrapped.
 }
 
 // popIdle removes and returns the newest idle connection, or nil if there is none.
@@ -160,7 +191,7 @@
 		return false
 	}
 	err := <-c.peekResult
-	if !isTimeout(err) || c.reader.Buffered() > 0 {
+	if !isDeadline(err) || c.reader.Buffered() > 0 {
 		return false
 	}
 	return c.SetReadDeadline(time.Time{}) == nil
@@ -186,6 +217,10 @@
 	c.peekResult = make(chan error, 1)
 	go func() {
 		_, err := c.reader.Peek(1)
+		if !isDeadline(err) {
+			// Bytes that belong to no request, or the end of the connection.
+			c.Close()
+		}
 		c.peekResult <- err
 	}()
 	c.pool.put(c)
@@ -231,6 +266,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
@@ -242,15 +279,17 @@
 	}
 }
 
-// setReadTimeout bounds the wait for the next bytes, unless the context has ended.
-func (c *conn) setReadTimeout(ctx context.Context, timeout time.Duration) {
-	if ctx.Err() == nil {
-		// Setting a deadline fails only on a closed connection; the next read
-		// returns that error.
-		_ = c.SetReadDeadline(time.Now().Add(timeout))
-	}
+// setReadTimeout bounds the time of all reads from now on.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	// Setting a deadline fails only on a closed connection; the next read returns that
+	// error.
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
 }
 
+// isDeadline reports whether an operation ended at a deadline that this program set. A
+// connection whose other end no longer answers has a timeout as well, but is dead.
+func isDeadline(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // isTimeout reports whether an operation on a connection timed out.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A connection must not be given up because its upstream is silent for a second or two.
@@ -80,11 +83,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	dropAll := []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K}}
-	if err := raw.Control(func(fd uintptr) { err = syscall.AttachLsf(int(fd), dropAll) }); err != nil {
-		t.Fatal(err)
-	}
-	if err != nil {
+	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}}
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
+	})
+	if err := errors.Join(err, failure); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -224,6 +225,7 @@
 	if err != nil {
 		return 0, nil, nil, batch.Unreachable
 	}
+	sent := time.Now()
 	response, err := c.roundTrip(r, int(r.ContentLength), timeout)
 	if err != nil {
 		c.Close()
@@ -231,8 +233,8 @@
 		return 0, nil, nil, batch.ConnectionFailed
 	}
 	s.observeNotice(u, response)
-	c.setReadTimeout(ctx, timeout)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	c.setReadTimeout(time.Until(sent.Add(timeout)))
+	body, err := readReply(response.Body)
 	if err != nil {
 		c.Close()
 		s.metrics.countUpstreamFailure(u.Service, "read")
@@ -245,3 +247,18 @@
 	}
 	return response.StatusCode, response.Header, body, batch.NoFailure
 }
+
+// maxReplyBytes bounds the reply of a stage worker.
+const maxReplyBytes = 256 << 10
+
+// readReply reads the whole reply of a stage worker.
+func readReply(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read reply: %w", err)
+	}
+	if len(data) > maxReplyBytes {
+		return nil, fmt.Errorf("read reply: %w", errResponseTooLong)
+	}
+	return data, nil
+}
