Log the versions that a stream passes through

Entries of upstreams now carry their version through fleet.Upstream; an entry without one names no upstream, as with the other fields. send and repeat name it with the version that began the stream, and resume is a new line with the attempt that the client names. No decision depends on them yet.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -22,6 +22,8 @@
 	// after this one has ended.
 	Addr string
 	Zone string
+	// Version is that of the upstream's software. Versions have no order.
+	Version string
 	// Slots is the number of requests that the upstream can run concurrently.
 	Slots int
 	// Draining upstreams get no new work.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -53,8 +53,8 @@
 	u.inFlight++
 	u.pendingTokens += r.pendingTokens
 	n.counts.Sent++
-	n.record(r, trace.Sent, "", "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
-		"flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())
+	n.record(r, trace.Sent, "", append(r.origin.attrs(now), "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
+		"software", u.Version, "flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())...)
 	n.emit(n.sendEffect(now, r))
 }
 
@@ -174,7 +174,7 @@
 	if r.lastEventID != "" {
 		n.counts.Resumed++
 	}
-	n.record(r, trace.Retried, "", "cause", cause, "attempt", r.attempt, "last_event", r.lastEventID)
+	n.record(r, trace.Retried, "", append(r.origin.attrs(now), "cause", cause, "attempt", r.attempt, "last_event", r.lastEventID)...)
 	for _, s := range r.stages {
 		if s.released && r.route.Kind == fleet.Stream {
 			n.restart(now, r)
@@ -191,6 +191,9 @@
 	}
 	r.upstream.pendingTokens -= r.pendingTokens
 	r.pendingTokens = 0
+	if r.origin.source == OriginUnknown {
+		r.origin = streamOrigin{version: r.upstream.Version, source: OriginAnswer, learned: now}
+	}
 	n.firstEventTimes[r.route.Name] = movingAverage(n.firstEventTimes[r.route.Name], now.Sub(r.sentAt))
 	n.recordSince(now, r.sentAt, r, trace.AnswerBegan, "", "attempt", e.Attempt,
 		"due_ms", r.due.Sub(now).Milliseconds())
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -31,6 +31,9 @@
 	// LastEventID is the ID of the last event that the client has received if it
 	// resumes a stream, or empty.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that
+	// the client resumes, or empty.
+	Resumes string
 }
 
 // An Event is an input of the reducer.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -82,6 +82,8 @@
 	// to the budget.
 	interrupted bool
 	lastEventID string
+	// origin is the software version that began the stream.
+	origin streamOrigin
 }
 
 // A stageState is the progress of one stage.
@@ -154,6 +156,9 @@
 	n.counts.Admitted++
 	n.record(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())
+	if r.LastEventID != "" {
+		n.record(r, trace.StreamResumed, "", append(r.origin.attrs(now), "first", r.Resumes, "last_event", r.LastEventID)...)
+	}
 	n.advance(now, r)
 }
 
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -19,6 +19,8 @@
 	Retried       Decision = "repeat"
 	// StreamStalled means that a resumable stream sent no event for longer than usual.
 	StreamStalled Decision = "stream stalled"
+	// StreamResumed means that the client resumes a stream that an earlier request began.
+	StreamResumed Decision = "resume"
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
@@ -43,7 +45,7 @@
 // All returns all decisions.
 func All() []Decision {
 	return []Decision{
-		Admitted, Sent, AttemptFailed, Retried, StreamStalled, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
+		Admitted, Sent, AttemptFailed, Retried, StreamStalled, StreamResumed, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
 		StageAdmitted, StageRefused, OwnerFailed,
 	}
 }
