--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -28,6 +28,7 @@
 	workers map[string]*stand.Worker
 	nodes   []*testNode
 	number  int
+	change  []func(*stand.Worker)
 }
 
 type testNode struct {
@@ -38,10 +39,11 @@
 	ready  string
 }
 
-// deploy starts a store, two workers of each service in two zones, and nodes.
-func deploy(t *testing.T, nodes int) *deployment {
+// deploy starts a store, two workers of each service in two zones, and nodes. It lets
+// change set what else the workers need before they start.
+func deploy(t *testing.T, nodes int, change ...func(*stand.Worker)) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: &stand.Store{}, workers: make(map[string]*stand.Worker)}
+	d := &deployment{t: t, store: &stand.Store{}, workers: make(map[string]*stand.Worker), change: change}
 	listener := httptest.NewServer(d.store)
 	t.Cleanup(listener.Close)
 	d.address = strings.TrimPrefix(listener.URL, "http://")
@@ -63,6 +65,9 @@
 
 func (d *deployment) start(w *stand.Worker) {
 	d.t.Helper()
+	for _, change := range d.change {
+		change(w)
+	}
 	if err := w.Start(d.store); err != nil {
 		d.t.Fatal(err)
 	}
