Resume a stream within an answer only at the version that began it

Cause: a retry chose among all upstreams of the service; nothing tied a stream to the version of its first event. Change: the reducer notes the version of the upstream that brought the first event, and leaves out upstreams of other versions wherever it looks for one: for a send, a retry, an interruption of a stalled stream, and the end of a pause. Without one, the answer is aborted as it is today without an upstream. Before the first event, a retry may still change the version.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -35,9 +35,9 @@
 		n.timedOut(now, TimedOut{Number: r.Number})
 		return
 	}
-	chosen, ok := n.pick(p.candidates(now, r.tried), r)
+	chosen, ok := n.pick(p.candidates(now, r), r)
 	if !ok {
-		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now)))
+		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now, r)))
 		return
 	}
 	if !r.apply(transitionSend) {
@@ -150,7 +150,7 @@
 		return
 	}
 	if r.attempt >= maxAttempts || !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
-		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.pauseLeft(now)))
+		n.fail(now, r, ReasonFull, max(busyRetryAfter, p.pauseLeft(now, r)))
 		return
 	}
 	n.retry(now, r, "upstream refused")
@@ -163,7 +163,7 @@
 	if !r.route.Retryable() || r.executions >= r.route.Attempts || r.attempt >= maxAttempts || p == nil {
 		return false
 	}
-	if len(p.candidates(now, r.tried)) == 0 {
+	if len(p.candidates(now, r)) == 0 {
 		return false
 	}
 	return p.retryBudget.Spend(n.config.Budget, now, n.nodes)
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -22,6 +22,12 @@
 	learned time.Time
 }
 
+// allows reports whether an upstream may go on with the stream. Events of different
+// versions do not fit together.
+func (o streamOrigin) allows(u *upstream) bool {
+	return o.source == OriginUnknown || u.Version == o.version
+}
+
 // attrs returns the origin as keys and values of a log line.
 func (o streamOrigin) attrs(now time.Time) []any {
 	if o.source == OriginUnknown {
--- /dev/null
+++ b/proxy/origin_test.go
@@ -0,0 +1,148 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"teaselplank/fleet"
+)
+
+// engines returns engines of the given versions, named by their positions from e0 on.
+func engines(versions ...string) []fleet.Upstream {
+	var list []fleet.Upstream
+	for i, version := range versions {
+		list = append(list, fleet.Upstream{ID: "e" + string(rune('0'+i)), Born: 1, Service: "engine", Version: version, Zone: "a", Slots: 4})
+	}
+	return list
+}
+
+func (h *harness) registerEngines(versions ...string) {
+	h.step(UpstreamsRegistered{Upstreams: engines(versions...)})
+}
+
+// begin sends a stream to an upstream, which passes its first event on, and returns the
+// version.
+func (h *harness) begin(attempt int) string {
+	h.t.Helper()
+	version := find[Send](h).Upstream.Version
+	h.respond(attempt, http.StatusOK, false)
+	h.step(FirstEvent{Number: h.number, Attempt: attempt})
+	return version
+}
+
+func (h *harness) wantSent(version string) {
+	h.t.Helper()
+	if got := find[Send](h).Upstream.Version; got != version {
+		h.t.Errorf("stream is sent to version %q, want %q", got, version)
+	}
+}
+
+// Guards against a stream that goes on at another version than the one that began it.
+func TestStreamOfTwoVersions(t *testing.T) {
+	t.Run("goes on at its version", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2", "v1", "v2", "v3")
+		for range 8 {
+			h.arrive("/stream/x")
+			version := h.begin(1)
+			if version == "v3" {
+				continue
+			}
+			h.attemptFailed(1, ConnectionFailed, "4")
+			h.wantSent(version)
+		}
+	})
+	t.Run("no upstream of the version is left", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2", "v2")
+		h.arrive("/stream/x")
+		for find[Send](h).Upstream.Version != "v1" {
+			h.arrive("/stream/x")
+		}
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		if got := find[Abort](h).Reason; got != ReasonUpstreamFailed {
+			t.Errorf("answer is aborted with reason %q, want %q", got, ReasonUpstreamFailed)
+		}
+	})
+	t.Run("the last upstream of the version drains before the retry", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1")
+		h.arrive("/stream/x", 1, 1)
+		h.stageDone(0, "a", "h1")
+		h.stageDone(1, "a", "h2")
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		list := engines("v1", "v1", "v2")
+		list[0].Draining, list[1].Draining = true, true
+		h.step(UpstreamsRegistered{Upstreams: list})
+		h.stageDone(0, "a", "h3")
+		h.stageDone(1, "a", "h4")
+		find[Abort](h)
+	})
+	t.Run("stalled with only other versions left", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		h.begin(1)
+		h.step(StreamStalled{Number: h.number, Attempt: 1})
+		for _, e := range h.effects {
+			if _, ok := e.(Interrupt); ok {
+				t.Error("stream is interrupted that cannot go on")
+			}
+		}
+	})
+	t.Run("a retry before the first event may change the version", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		first := find[Send](h).Upstream.Version
+		h.attemptFailed(1, ConnectionFailed, "")
+		if got := find[Send](h).Upstream.Version; got == first {
+			t.Errorf("stream is sent to version %q again", got)
+		}
+	})
+	t.Run("the version of the second attempt counts if it brings the first event", func(t *testing.T) {
+		h := newHarness(t)
+		c := testConfig()
+		c.Version, c.Routes[2].Attempts = 2, 3
+		h.step(Configured{Table: fleet.NewTable(c)})
+		h.registerEngines("v1", "v2", "v1", "v2")
+		h.arrive("/stream/x")
+		first := find[Send](h).Upstream.Version
+		for number := h.number; find[Send](h).Upstream.Version == first; {
+			h.step(AttemptFailed{Number: number, Attempt: h.node.requests[number].attempt, Failure: Unreachable})
+		}
+		second := h.node.requests[h.number].attempt
+		version := h.begin(second)
+		h.attemptFailed(second, ConnectionFailed, "4")
+		h.wantSent(version)
+	})
+	t.Run("versions of other services play no role", func(t *testing.T) {
+		h := newHarness(t)
+		var desks []fleet.Upstream
+		for _, u := range engines("v1", "v2") {
+			u.Service = "desk"
+			desks = append(desks, u)
+		}
+		h.step(UpstreamsRegistered{Upstreams: desks})
+		h.arrive("/safe/x")
+		first := find[Send](h).Upstream.Version
+		h.respond(1, http.StatusInternalServerError, false)
+		if got := find[Send](h).Upstream.Version; got == first {
+			t.Errorf("request is sent to version %q again", got)
+		}
+	})
+	t.Run("the pause of other versions does not matter", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1", "v2")
+		const pause = 3 * time.Second
+		r := &request{origin: streamOrigin{version: "v1", source: OriginAnswer}}
+		h.step(UpstreamHeld{ID: "e0", Born: 1, Until: h.now.Add(pause)})
+		h.step(UpstreamHeld{ID: "e1", Born: 1, Until: h.now.Add(pause)})
+		if got := h.node.pools["engine"].pauseLeft(h.now, r); got != pause {
+			t.Errorf("pause is %s, want %s", got, pause)
+		}
+	})
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -82,11 +82,12 @@
 	n.countWorkers()
 }
 
-// candidates returns the usable upstreams of the pool, except those already tried.
-func (p *pool) candidates(now time.Time, tried []string) []picker.Candidate {
+// candidates returns the usable upstreams of the pool that a request may be sent to and
+// that it has not tried.
+func (p *pool) candidates(now time.Time, r *request) []picker.Candidate {
 	var found []picker.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || u.pause.Active(now) || u.health.Suspect(now) || slices.Contains(tried, u.ID) {
+		if u.Draining || u.pause.Active(now) || u.health.Suspect(now) || slices.Contains(r.tried, u.ID) || !r.origin.allows(u) {
 			continue
 		}
 		found = append(found, picker.Candidate{
@@ -104,12 +105,12 @@
 	}
 }
 
-// pauseLeft returns how long all upstreams of the pool want no requests, or 0 if one of
-// them accepts some.
-func (p *pool) pauseLeft(now time.Time) time.Duration {
+// pauseLeft returns how long all upstreams that a request may be sent to want no
+// requests, or 0 if one of them accepts some.
+func (p *pool) pauseLeft(now time.Time, r *request) time.Duration {
 	var pauses []health.Pause
 	for _, u := range p.upstreams {
-		if !u.Draining {
+		if !u.Draining && r.origin.allows(u) {
 			pauses = append(pauses, u.pause)
 		}
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -168,7 +168,7 @@
 func (n *Node) chooseHomeZone(now time.Time, r *request) {
 	r.homeZone = n.config.Zone
 	if p := n.pools[r.service]; p != nil && n.isEngine(r.service) {
-		if c, ok := (picker.PrefixAffinity{SharedPrefix: r.SharedPrefix}).Pick(n.setZoneWeights(p.candidates(now, nil))); ok {
+		if c, ok := (picker.PrefixAffinity{SharedPrefix: r.SharedPrefix}).Pick(n.setZoneWeights(p.candidates(now, r))); ok {
 			r.homeZone = c.Zone
 		}
 	}
