Record the versions that streams are sent to in the store

A host at which a client resumes a stream cannot know the version that began it once the host before is gone, and the client names only its attempt. What must be kept goes through the store, so hosts append attempt, service and version to a topic of their own when they send a resumable stream, before its first event. No decision reads it yet.

An append that failed is repeated; the number of the attempt says which record of a stream holds, so that one that arrives late does no harm.

The first subtest of proxy.TestStreamOfTwoVersions passed without the filter; it now uses eight prefixes and fails without it.

--- a/cmd/teaselplank/cmds/entry.go
+++ b/cmd/teaselplank/cmds/entry.go
@@ -51,9 +51,11 @@
 	debug.SetGCPercent(gcPercent)
 	writer := logs.New(s.out)
 	defer writer.Close()
+	store := platform.NewStore(settings.Store)
 	node, err := relay.New(relay.Options{
 		Settings: settings,
-		Registry: platform.NewStore(settings.Store),
+		Registry: store,
+		Origins:  store,
 		Protocol: platform.Adapter{},
 		Logger:   writer.Logger(),
 	})
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -55,6 +55,7 @@
 	n.counts.Sent++
 	n.record(r, trace.Sent, "", append(r.origin.attrs(now), "attempt", r.attempt, "upstream", u.ID, "zone", u.Zone, "service", r.service,
 		"software", u.Version, "flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())...)
+	n.recordOrigin(now, r)
 	n.emit(n.sendEffect(now, r))
 }
 
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -5,6 +5,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/fleet"
+	"teaselplank/origin"
 	"teaselplank/trace"
 )
 
@@ -237,6 +238,15 @@
 		Number   uint64
 		Deadline time.Time
 	}
+	// RecordOrigin requests that the version that a stream is sent to be remembered, and
+	// be shared with the other nodes if Share is true.
+	RecordOrigin struct {
+		Record origin.Record
+		Share  bool
+	}
+	// ShareOrigins requests that all remembered versions of the streams of a service be
+	// shared with the other nodes.
+	ShareOrigins struct{ Service string }
 	// RecordDecision requests that a decision be logged and counted.
 	RecordDecision struct{ Record DecisionRecord }
 )
@@ -250,6 +260,8 @@
 func (Release) ProxyEffect()        {}
 func (Withdraw) ProxyEffect()       {}
 func (Admitted) ProxyEffect()       {}
+func (RecordOrigin) ProxyEffect()   {}
+func (ShareOrigins) ProxyEffect()   {}
 func (RecordDecision) ProxyEffect() {}
 
 // Reason is the reason for the outcome of a request.
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -1,6 +1,11 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"teaselplank/fleet"
+	"teaselplank/origin"
+)
 
 // OriginSource says how a node knows which version began a stream.
 type OriginSource string
@@ -35,3 +40,34 @@
 	}
 	return []any{"began", o.version, "began_by", string(o.source), "began_age_ms", now.Sub(o.learned).Milliseconds()}
 }
+
+// recordOrigin records the version that a stream is sent to, if its client may resume it. A
+// service with one version needs no records at other nodes.
+func (n *Node) recordOrigin(now time.Time, r *request) {
+	if r.route.Kind != fleet.Stream || !r.route.Resumable || r.origin.source != OriginUnknown {
+		return
+	}
+	n.emit(RecordOrigin{
+		Record: origin.Record{ID: r.ID, Service: r.service, Version: r.upstream.Version, Attempt: r.attempt},
+		Share:  n.severalVersions(now, r.service),
+	})
+}
+
+func (n *Node) severalVersions(now time.Time, service string) bool {
+	return len(n.versions.Recent(now, service)) > 1
+}
+
+// observeVersions notes the versions of the upstreams. The streams that a service began
+// while it had one version must be known to other nodes once it has several.
+func (n *Node) observeVersions(now time.Time, upstreams []fleet.Upstream) {
+	several := make(map[string]bool)
+	for _, u := range upstreams {
+		several[u.Service] = n.severalVersions(now, u.Service)
+	}
+	n.versions.Observe(now, upstreams)
+	for service, before := range several {
+		if !before && n.severalVersions(now, service) {
+			n.emit(ShareOrigins{Service: service})
+		}
+	}
+}
--- a/proxy/origin_test.go
+++ b/proxy/origin_test.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/origin"
 )
 
 // engines returns engines of the given versions, named by their positions from e0 on.
@@ -31,6 +33,15 @@
 	return version
 }
 
+// arriveWithPrefix lets a stream arrive whose prompt has a prefix, by which its engine is
+// chosen.
+func (h *harness) arriveWithPrefix(prefix string) {
+	h.number++
+	h.step(RequestArrived{Request{
+		Number: h.number, ID: "id", Host: "h", Path: "/stream/x", APIKey: "key", Timeout: 6 * time.Second, SharedPrefix: prefix,
+	}})
+}
+
 func (h *harness) wantSent(version string) {
 	h.t.Helper()
 	if got := find[Send](h).Upstream.Version; got != version {
@@ -43,8 +54,8 @@
 	t.Run("goes on at its version", func(t *testing.T) {
 		h := newHarness(t)
 		h.registerEngines("v1", "v2", "v1", "v2", "v3")
-		for range 8 {
-			h.arrive("/stream/x")
+		for i := range 8 {
+			h.arriveWithPrefix(fmt.Sprint(i))
 			version := h.begin(1)
 			if version == "v3" {
 				continue
@@ -146,3 +157,76 @@
 		}
 	})
 }
+
+// Nodes that a client may resume at know the versions of streams only from records, which
+// cost a call each, so that they are made only while a service has several versions.
+func TestRecordsOfOrigins(t *testing.T) {
+	wantRecord := func(t *testing.T, h *harness, attempt int, share bool) {
+		t.Helper()
+		sent, got := find[Send](h).Upstream, find[RecordOrigin](h)
+		want := RecordOrigin{Record: origin.Record{ID: "id", Service: "engine", Version: sent.Version, Attempt: attempt}, Share: share}
+		if got != want {
+			t.Errorf("record is %+v, want %+v", got, want)
+		}
+	}
+	t.Run("one version", func(t *testing.T) {
+		h := newHarness(t)
+		h.step(UpstreamsRegistered{Upstreams: engines("v1", "v1")})
+		h.now = h.now.Add(origin.Window)
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, false)
+	})
+	t.Run("each attempt before the first event", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, true)
+		h.attemptFailed(1, ConnectionFailed, "")
+		wantRecord(t, h, 2, true)
+	})
+	t.Run("no attempt after the first event", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1", "v2", "v2")
+		h.arrive("/stream/x")
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		find[Send](h)
+		wantNoRecord(t, h)
+	})
+	t.Run("requests that cannot be resumed", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/safe/x")
+		wantNoRecord(t, h)
+	})
+	t.Run("a version that left lately counts", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.registerEngines("v2")
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, true)
+	})
+	t.Run("streams that began before the second version came", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1")
+		h.now = h.now.Add(origin.Window)
+		h.registerEngines("v1", "v2")
+		if got := find[ShareOrigins](h).Service; got != "engine" {
+			t.Errorf("streams of service %q are shared, want engine", got)
+		}
+		h.registerEngines("v1", "v2", "v3")
+		for _, e := range h.effects {
+			if _, ok := e.(ShareOrigins); ok {
+				t.Error("streams are shared again")
+			}
+		}
+	})
+}
+
+func wantNoRecord(t *testing.T, h *harness) {
+	t.Helper()
+	for _, e := range h.effects {
+		if e, ok := e.(RecordOrigin); ok {
+			t.Errorf("record is %+v, want none", e)
+		}
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -59,7 +59,8 @@
 
 // register replaces the set of upstreams. An upstream that is still the same process
 // keeps its recorded state.
-func (n *Node) register(upstreams []fleet.Upstream) {
+func (n *Node) register(now time.Time, upstreams []fleet.Upstream) {
+	n.observeVersions(now, upstreams)
 	old := n.pools
 	n.pools = make(map[string]*pool)
 	for _, u := range upstreams {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -18,6 +18,7 @@
 
 	"teaselplank/budget"
 	"teaselplank/fleet"
+	"teaselplank/origin"
 )
 
 // Config holds the settings of a Node.
@@ -35,6 +36,8 @@
 	table    *fleet.Table
 	pools    map[string]*pool
 	requests map[uint64]*request
+	// versions are the software versions that each service has had lately.
+	versions origin.Versions
 	// stageWorkers is the number of stage workers by zone.
 	stageWorkers map[string]int
 	// firstEventTimes is the moving average of the time from sending a request to
@@ -73,8 +76,8 @@
 }
 
 // Step applies an event and returns its effects, which are valid until the next call.
-// Except for Release and RecordDecision, the effects of a request's event concern only
-// that request.
+// Except for Release, RecordDecision, RecordOrigin and ShareOrigins, the effects of a
+// request's event concern only that request.
 func (n *Node) Step(now time.Time, event Event) []Effect {
 	n.effects = nil
 	switch e := event.(type) {
@@ -101,7 +104,7 @@
 	case Configured:
 		n.configure(e.Table)
 	case UpstreamsRegistered:
-		n.register(e.Upstreams)
+		n.register(now, e.Upstreams)
 	case UpstreamHeld:
 		n.pauseUpstream(e)
 	case NodeCount:
--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -115,8 +115,9 @@
 // newServer returns a server that is not serving.
 func (d *deployment) newServer(settings *conf.EntrySettings) *Server {
 	d.t.Helper()
+	store := platform.NewStore(d.address)
 	server, err := New(Options{
-		Settings: settings, Registry: platform.NewStore(d.address), Protocol: platform.Adapter{},
+		Settings: settings, Registry: store, Origins: store, Protocol: platform.Adapter{},
 		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
 	})
 	if err != nil {
--- /dev/null
+++ b/relay/origins_test.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"teaselplank/infra"
+	"teaselplank/origin"
+)
+
+var errLogDown = errors.New("log is down")
+
+// A fakeLog is a log of origins in memory that fails on demand.
+type fakeLog struct {
+	mu      sync.Mutex
+	down    bool
+	epoch   infra.Epoch
+	records []origin.Record
+	appends int
+	reads   int
+	// pageSize bounds the records of a page if it is not 0.
+	pageSize int
+}
+
+func (l *fakeLog) AppendOrigins(_ context.Context, records []origin.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return errLogDown
+	}
+	l.appends++
+	l.records = append(l.records, records...)
+	return nil
+}
+
+func (l *fakeLog) ReadOrigins(_ context.Context, from int64) (infra.OriginPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	if l.down {
+		return infra.OriginPage{}, errLogDown
+	}
+	end := int64(len(l.records))
+	next := end
+	if l.pageSize > 0 {
+		next = min(end, from+int64(l.pageSize))
+	}
+	return infra.OriginPage{Records: l.records[min(from, end):next], Next: next, End: end, Epoch: l.epoch}, nil
+}
+
+func (l *fakeLog) set(change func(l *fakeLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (l *fakeLog) count() (records, appends int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records), l.appends
+}
+
+// newOriginsAt returns the origins of a server with a fake log.
+func newOriginsAt(t *testing.T, l *fakeLog) (*deployment, *origins) {
+	t.Helper()
+	d := deploy(t, 0)
+	s := d.newServer(d.settings("alone"))
+	t.Cleanup(s.close)
+	return d, newOrigins(s, l)
+}
+
+func streamRecord(i int) origin.Record {
+	return origin.Record{ID: fmt.Sprint("stream-", i), Service: "engine", Version: "v1", Attempt: 1}
+}
+
+// Each call of the log has a price and the log may be down, so that records share appends
+// and those that fail are appended later.
+func TestSharedOrigins(t *testing.T) {
+	t.Run("records share an append", func(t *testing.T) {
+		l := &fakeLog{}
+		d, o := newOriginsAt(t, l)
+		for i := range 20 {
+			o.record(streamRecord(i), true)
+		}
+		d.await("the records are in the log", func() bool { records, _ := l.count(); return records == 20 })
+		if _, appends := l.count(); appends > 2 {
+			t.Errorf("%d appends for 20 records at once, want 2 at most", appends)
+		}
+	})
+	t.Run("the log is down for a while", func(t *testing.T) {
+		l := &fakeLog{down: true}
+		d, o := newOriginsAt(t, l)
+		o.record(streamRecord(0), true)
+		d.await("an append has failed", func() bool { return counterOf(t, o.server, "failed") > 0 })
+		o.record(streamRecord(1), true)
+		l.set(func(l *fakeLog) { l.down = false })
+		d.await("the records are in the log", func() bool { records, _ := l.count(); return records == 2 })
+		if l.records[0] != streamRecord(0) || l.records[1] != streamRecord(1) {
+			t.Errorf("records are %+v, want those of both streams in order", l.records)
+		}
+	})
+	t.Run("only what is asked for is shared", func(t *testing.T) {
+		l := &fakeLog{}
+		d, o := newOriginsAt(t, l)
+		o.record(streamRecord(0), false)
+		o.record(streamRecord(1), true)
+		d.await("a record is in the log", func() bool { records, _ := l.count(); return records > 0 })
+		if l.records[0] != streamRecord(1) {
+			t.Errorf("record is %+v, want that of the second stream", l.records[0])
+		}
+		o.share("engine")
+		d.await("both streams are in the log", func() bool { records, _ := l.count(); return records == 3 })
+	})
+	t.Run("too many records", func(t *testing.T) {
+		_, o := newOriginsAt(t, &fakeLog{down: true})
+		for i := range maxPendingRecords + 5 {
+			o.record(streamRecord(i), true)
+		}
+		if got := counterOf(t, o.server, "dropped"); got < 5 {
+			t.Errorf("%v records are dropped, want 5", got)
+		}
+	})
+}
+
+// counterOf returns the number of records that were shared with a result.
+func counterOf(t *testing.T, s *Server, result string) float64 {
+	t.Helper()
+	families, err := s.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "teaselplank_stream_origins_shared_total" && m.GetLabel()[0].GetValue() == result {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,8 @@
 type Options struct {
 	Settings *conf.EntrySettings
 	Registry infra.Registry
+	// Origins is the log of the versions that streams began at, or nil if there is none.
+	Origins  infra.OriginLog
 	Protocol Protocol
 	Logger   *slog.Logger
 }
@@ -106,6 +108,7 @@
 	peers    *peers
 	conns    *connPool
 	releases releaseQueue
+	origins  *origins
 
 	// restored gets a value when the store was restored.
 	restored chan struct{}
@@ -152,6 +155,7 @@
 	s.conns = newConnPool()
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
+	s.origins = newOrigins(s, o.Origins)
 	context.AfterFunc(ctx, func() { s.owner.step(batch.Close{}) })
 	return s, nil
 }
@@ -172,6 +176,11 @@
 	s.mu.Lock()
 	effects := s.node.Step(s.now(), event)
 	s.mu.Unlock()
+	return s.perform(effects)
+}
+
+// perform performs the effects that concern no single request and returns the others.
+func (s *Server) perform(effects []proxy.Effect) []proxy.Effect {
 	rest := effects[:0]
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -179,6 +188,10 @@
 			s.recordDecision(e.Record)
 		case proxy.Release:
 			s.releases.add(e.Results)
+		case proxy.RecordOrigin:
+			s.origins.record(e.Record, e.Share)
+		case proxy.ShareOrigins:
+			s.origins.share(e.Service)
 		default:
 			rest = append(rest, e)
 		}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -198,11 +198,12 @@
 	if t := s.node.Table(); t != nil {
 		services = t.Services()
 	}
-	s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
+	effects := s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
 	before := s.division
 	s.division = batch.Divide(services, upstreams)
 	owners, workers := s.division.Owners(), s.division.Workers(s.self.Zone, upstreams)
 	s.mu.Unlock()
+	s.perform(effects)
 	if owners != before.Owners() {
 		s.logger.Info("stages are divided", "owners", owners, "before", before.Owners(), "upstreams", len(upstreams))
 	}
