Resume a client's stream only at the version that began it

Cause: a host read neither the attempt that the client names nor the versions, and could not have known the version once the host before was gone. Change: the reducer asks for the record of the named attempt before any stage runs. The shell looks in the host's own memory, then reads on in the log of the store; a record that was read earlier may be of an attempt that was repeated at another version, so the log is read each time, once for all lookups at the same moment, within 300 ms. A known stream is pinned to its version, and refused at once with 503 if no upstream of it is registered. An unknown one goes on only if the service has had one version lately, as the host itself saw for 20 s or as it and the records of all hosts say; otherwise it is refused with 503 before anything has run, and the line names what was known. Routes with several services choose by the named attempt, so that a stream stays at its service. A service with one version costs no lookup on a host that is older than 20 s.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -92,6 +92,15 @@
 		v.Observe(start, nil)
 		wantRecent(t, &v, start.Add(time.Second), "v1")
 	})
+	t.Run("a version that others saw", func(t *testing.T) {
+		var v Versions
+		v.See(start, "s", "v1")
+		wantRecent(t, &v, start.Add(Window-1), "v1")
+		wantRecent(t, &v, start.Add(Window))
+		v.Observe(start, upstreams("v1"))
+		v.See(start, "s", "v1")
+		wantRecent(t, &v, start.Add(Window), "v1")
+	})
 	t.Run("watched since the first upstreams", func(t *testing.T) {
 		var v Versions
 		v.Observe(start, nil)
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -32,14 +32,24 @@
 		v.since = now
 	}
 	v.endSights(now)
+	for _, u := range upstreams {
+		v.See(now, u.Service, u.Version)
+		v.services[u.Service][u.Version] = sight{registered: true}
+	}
+}
+
+// See takes note that a service had an upstream of a version until now.
+func (v *Versions) See(now time.Time, service, version string) {
 	if v.services == nil {
 		v.services = make(map[string]map[string]sight)
 	}
-	for _, u := range upstreams {
-		if v.services[u.Service] == nil {
-			v.services[u.Service] = make(map[string]sight)
-		}
-		v.services[u.Service][u.Version] = sight{registered: true}
+	versions := v.services[service]
+	if versions == nil {
+		versions = make(map[string]sight)
+		v.services[service] = versions
+	}
+	if !versions[version].registered {
+		versions[version] = sight{last: now}
 	}
 }
 
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -43,6 +43,19 @@
 type (
 	// RequestArrived reports a new client request.
 	RequestArrived struct{ Request Request }
+	// OriginFound reports what the node knows about the stream that a client resumes.
+	OriginFound struct {
+		Number uint64
+		// Source is OriginUnknown if there is no record of the stream. Age is the time
+		// since the node got the record.
+		Source OriginSource
+		Record origin.Record
+		Age    time.Duration
+		// Complete is true if the records of all nodes were read. Versions are those of
+		// the service that recent records name.
+		Complete bool
+		Versions []string
+	}
 	// StageDone reports the results of a stage.
 	StageDone struct {
 		Number  uint64
@@ -117,6 +130,7 @@
 )
 
 func (RequestArrived) ProxyEvent()      {}
+func (OriginFound) ProxyEvent()         {}
 func (StageDone) ProxyEvent()           {}
 func (StageFailed) ProxyEvent()         {}
 func (HeadReceived) ProxyEvent()        {}
@@ -238,6 +252,13 @@
 		Number   uint64
 		Deadline time.Time
 	}
+	// FindOrigin requests the record of the stream that a client resumes, whose first
+	// event came in answer to the attempt ID.
+	FindOrigin struct {
+		Number  uint64
+		ID      string
+		Service string
+	}
 	// RecordOrigin requests that the version that a stream is sent to be remembered, and
 	// be shared with the other nodes if Share is true.
 	RecordOrigin struct {
@@ -260,6 +281,7 @@
 func (Release) ProxyEffect()        {}
 func (Withdraw) ProxyEffect()       {}
 func (Admitted) ProxyEffect()       {}
+func (FindOrigin) ProxyEffect()     {}
 func (RecordOrigin) ProxyEffect()   {}
 func (ShareOrigins) ProxyEffect()   {}
 func (RecordDecision) ProxyEffect() {}
@@ -283,6 +305,7 @@
 	ReasonClientLeft     Reason = "client has left"
 	ReasonAnswered       Reason = "answered"
 	ReasonInvalidRequest Reason = "request is not valid"
+	ReasonUnknownOrigin  Reason = "version that began the stream is not known"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -16,6 +16,12 @@
 	OriginUnknown OriginSource = ""
 	// OriginAnswer means that the stream began in the answer of the request itself.
 	OriginAnswer OriginSource = "answer"
+	// OriginOwn means that this node sent the stream, and OriginShared that another node
+	// did and recorded it.
+	OriginOwn    OriginSource = "own"
+	OriginShared OriginSource = "shared"
+	// OriginOnly means that the service has had only one version lately.
+	OriginOnly OriginSource = "only version"
 )
 
 // A streamOrigin is what a node knows about the software version that began a stream. The
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -83,6 +83,8 @@
 	switch e := event.(type) {
 	case RequestArrived:
 		n.arrive(now, e.Request)
+	case OriginFound:
+		n.originFound(now, e)
 	case StageDone:
 		n.stageDone(now, e)
 	case StageFailed:
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -82,8 +82,10 @@
 	// to the budget.
 	interrupted bool
 	lastEventID string
-	// origin is the software version that began the stream.
-	origin streamOrigin
+	// origin is the software version that began the stream. findingOrigin is true while
+	// the request waits until the node has looked for it.
+	origin        streamOrigin
+	findingOrigin bool
 }
 
 // A stageState is the progress of one stage.
@@ -144,7 +146,7 @@
 		n.reply(now, r, http.StatusUnauthorized, ReasonUnknownKey, 0)
 		return
 	}
-	r.service = r.route.Target(q.ID)
+	r.service = r.route.Target(targetID(q))
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.setDeadlines(now, r)
 	if n.outlastsStop(now, r) {
@@ -152,13 +154,19 @@
 		return
 	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
-	n.chooseHomeZone(now, r)
 	n.counts.Admitted++
 	n.record(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())
-	if r.LastEventID != "" {
-		n.record(r, trace.StreamResumed, "", append(r.origin.attrs(now), "first", r.Resumes, "last_event", r.LastEventID)...)
+	if r.route.Kind == fleet.Stream && r.LastEventID != "" {
+		n.findOrigin(now, r)
+		return
 	}
+	n.start(now, r)
+}
+
+// start starts the stages of a request, or sends it.
+func (n *Node) start(now time.Time, r *request) {
+	n.chooseHomeZone(now, r)
 	n.advance(now, r)
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -126,6 +126,8 @@
 		switch e := e.(type) {
 		case proxy.Admitted:
 			x.context, x.stopTimer = context.WithDeadline(x.context, e.Deadline)
+		case proxy.FindOrigin:
+			x.findOrigin(e)
 		case proxy.RunStage:
 			x.runStage(e.Job)
 		case proxy.Withdraw:
--- /dev/null
+++ b/relay/lookup.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"teaselplank/infra"
+	"teaselplank/origin"
+	"teaselplank/proxy"
+)
+
+// lookupTimeout bounds a lookup of the version that began a stream, whose client waits.
+const lookupTimeout = 300 * time.Millisecond
+
+// The results of lookups in the metrics, besides the sources of records.
+const (
+	lookupNone   = "none"
+	lookupFailed = "failed"
+)
+
+// An originRead is a read of the records of other nodes. Lookups at the same time share
+// it.
+type originRead struct {
+	// done is closed at the end of the read. err is valid after that.
+	done chan struct{}
+	err  error
+}
+
+// findOrigin looks for the version that began the stream that the client resumes.
+func (x *exchange) findOrigin(e proxy.FindOrigin) {
+	ctx := x.context
+	go func() {
+		found := x.server.origins.find(ctx, e)
+		select {
+		case x.events <- found:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// find looks for the record of a stream: in the node's own memory, then in the records
+// of all nodes.
+func (o *origins) find(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound {
+	found, ok := o.recordOf(e, &o.own, proxy.OriginOwn)
+	if ok {
+		o.server.metrics.countLookup(string(found.Source))
+		return found
+	}
+	if err := o.readNow(ctx); err != nil {
+		o.server.metrics.countLookup(lookupFailed)
+		o.server.logger.Warn("versions of streams are not read", "error", err.Error())
+		return found
+	}
+	found, ok = o.recordOf(e, &o.shared, proxy.OriginShared)
+	found.Complete = true
+	if ok {
+		o.server.metrics.countLookup(string(found.Source))
+		return found
+	}
+	o.server.metrics.countLookup(lookupNone)
+	found.Versions = o.sharedVersions(e.Service)
+	return found
+}
+
+// recordOf returns the record of a stream in a memory.
+func (o *origins) recordOf(e proxy.FindOrigin, m *origin.Memory, source proxy.OriginSource) (proxy.OriginFound, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, age, ok := m.Get(o.server.now(), e.ID)
+	if !ok {
+		return proxy.OriginFound{Number: e.Number}, false
+	}
+	return proxy.OriginFound{Number: e.Number, Source: source, Record: r, Age: age}, true
+}
+
+func (o *origins) sharedVersions(service string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Recent(o.server.now(), service)
+}
+
+var errNoOriginLog = errors.New("no log of the versions of streams")
+
+// readNow waits for a read of the log that began after the call: a read that is in
+// progress may miss the newest record of a stream.
+func (o *origins) readNow(ctx context.Context) error {
+	if o.log == nil {
+		return errNoOriginLog
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	read, started := o.joinRead()
+	err := read.wait(ctx)
+	if !started && ctx.Err() == nil {
+		read, _ = o.joinRead()
+		err = read.wait(ctx)
+	}
+	return err
+}
+
+// wait waits for the end of the read and returns its error.
+func (r *originRead) wait(ctx context.Context) error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return fmt.Errorf("wait for a read of versions: %w", ctx.Err())
+	}
+}
+
+// joinRead returns the read in progress, or starts one.
+func (o *origins) joinRead() (read *originRead, started bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.reading != nil {
+		return o.reading, false
+	}
+	read = &originRead{done: make(chan struct{})}
+	o.reading = read
+	go func() {
+		ctx, cancel := context.WithTimeout(o.server.context, lookupTimeout)
+		defer cancel()
+		read.err = o.readAll(ctx)
+		o.mu.Lock()
+		o.reading = nil
+		o.mu.Unlock()
+		close(read.done)
+	}()
+	return read, true
+}
+
+// readAll reads the records from the last position on to the end of the log. A read that
+// fails goes on where it stopped the next time.
+func (o *origins) readAll(ctx context.Context) error {
+	o.observeEpoch(o.server.storeEpoch())
+	for {
+		page, err := o.log.ReadOrigins(ctx, o.position())
+		if err != nil {
+			return fmt.Errorf("read versions of streams: %w", err)
+		}
+		if o.apply(page) {
+			return nil
+		}
+	}
+}
+
+func (o *origins) position() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.next
+}
+
+// observeEpoch makes the next read begin at the first record if the store was restored
+// from a copy, as it gives offsets out again.
+func (o *origins) observeEpoch(epoch infra.Epoch) (restored bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if epoch <= o.epoch {
+		return false
+	}
+	o.epoch, o.next = epoch, 0
+	return true
+}
+
+// apply takes a page and reports whether it was the last one.
+func (o *origins) apply(page infra.OriginPage) bool {
+	if o.observeEpoch(page.Epoch) {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.server.now()
+	for _, r := range page.Records {
+		o.shared.Put(now, r)
+		o.versions.See(now, r.Service, r.Version)
+	}
+	o.next = page.Next
+	return page.Next >= page.End
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -24,6 +24,7 @@
 	invalidRecords   *prometheus.CounterVec
 	crossings        *prometheus.CounterVec
 	originsShared    *prometheus.CounterVec
+	originLookups    *prometheus.CounterVec
 	callTimes        *prometheus.HistogramVec
 	// decisionTimes measures from the start of the request, attempt or stage to a decision,
 	// stageTimes measures stages at their owner, and overruns holds the ratio of a
@@ -56,6 +57,7 @@
 		invalidRecords:   counter("invalid_records_total", "Records that could not be read.", "kind"),
 		crossings:        counter("stage_results_crossed_total", "Results of stages made in another zone than they are needed in.", "service"),
 		originsShared:    counter("stream_origins_shared_total", "Records of the versions that streams began at.", "result"),
+		originLookups:    counter("stream_origin_lookups_total", "Lookups of the versions that streams began at.", "result"),
 		callTimes:        histogram("stage_call_seconds", "Calls to workers of stages.", durationBuckets, "service", "failure"),
 		decisionTimes:    histogram("decision_seconds", "What ends with a decision.", durationBuckets, "decision", "reason"),
 		stageTimes:       histogram("stage_seconds", "Stages of requests, at their owner.", durationBuckets, "service"),
@@ -67,7 +69,7 @@
 	}
 	m.registry.MustRegister(
 		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.invalidRecords,
-		m.crossings, m.originsShared, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
+		m.crossings, m.originsShared, m.originLookups, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requestCount()) }),
 		gauge("config_version", "Version of the configuration in force.", func() float64 {
 			s.mu.Lock()
@@ -111,6 +113,8 @@
 	m.originsShared.WithLabelValues(result).Add(float64(records))
 }
 
+func (m *metrics) countLookup(result string) { m.originLookups.WithLabelValues(result).Inc() }
+
 func (m *metrics) observeRead(stream infra.Stream, ok bool, took time.Duration) {
 	result := "ok"
 	if !ok {
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -18,8 +18,10 @@
 	// that wait for one.
 	maxRecordsPerAppend = 256
 	maxPendingRecords   = 8 << 10
-	// maxOwnOrigins bounds the streams that a node remembers to have sent.
-	maxOwnOrigins = 16 << 10
+	// maxOwnOrigins bounds the streams that a node remembers to have sent, and
+	// maxSharedOrigins those of other nodes.
+	maxOwnOrigins    = 16 << 10
+	maxSharedOrigins = 64 << 10
 )
 
 // origins holds the versions that streams began at, and shares them with the other nodes.
@@ -35,10 +37,19 @@
 	// goroutine appends them: only one does, so that they are appended in order.
 	pending []origin.Record
 	sharing bool
+	// shared holds the streams that other nodes have recorded, and versions those of
+	// their services. Their records were read up to the offset next in the store of epoch
+	// epoch.
+	shared   origin.Memory
+	versions origin.Versions
+	next     int64
+	epoch    infra.Epoch
+	// reading is the read of records in progress, or nil.
+	reading *originRead
 }
 
 func newOrigins(s *Server, log infra.OriginLog) *origins {
-	return &origins{server: s, log: log, own: origin.Memory{Limit: maxOwnOrigins}}
+	return &origins{server: s, log: log, own: origin.Memory{Limit: maxOwnOrigins}, shared: origin.Memory{Limit: maxSharedOrigins}}
 }
 
 // record remembers the version that a stream was sent to, and shares it if necessary.
--- a/relay/origins_test.go
+++ b/relay/origins_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"teaselplank/infra"
 	"teaselplank/origin"
+	"teaselplank/proxy"
 )
 
 var errLogDown = errors.New("log is down")
@@ -21,6 +24,8 @@
 	records []origin.Record
 	appends int
 	reads   int
+	// delay is the time of a read.
+	delay time.Duration
 	// pageSize bounds the records of a page if it is not 0.
 	pageSize int
 }
@@ -36,7 +41,12 @@
 	return nil
 }
 
-func (l *fakeLog) ReadOrigins(_ context.Context, from int64) (infra.OriginPage, error) {
+func (l *fakeLog) ReadOrigins(ctx context.Context, from int64) (infra.OriginPage, error) {
+	select {
+	case <-time.After(l.delay):
+	case <-ctx.Done():
+		return infra.OriginPage{}, ctx.Err()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
@@ -141,3 +151,91 @@
 	}
 	return 0
 }
+
+// findStream looks for the version of a stream that another node sent.
+func findStream(t *testing.T, o *origins, id string) proxy.OriginFound {
+	t.Helper()
+	return o.find(t.Context(), proxy.FindOrigin{Number: 1, ID: id, Service: "engine"})
+}
+
+func wantFound(t *testing.T, o *origins, id, version string, source proxy.OriginSource) {
+	t.Helper()
+	if got := findStream(t, o, id); got.Record.Version != version || got.Source != source {
+		t.Errorf("version of %s is %q by %q, want %q by %q", id, got.Record.Version, got.Source, version, source)
+	}
+}
+
+func TestLookups(t *testing.T) {
+	t.Run("own stream", func(t *testing.T) {
+		l := &fakeLog{down: true}
+		_, o := newOriginsAt(t, l)
+		o.record(streamRecord(0), false)
+		wantFound(t, o, "stream-0", "v1", proxy.OriginOwn)
+	})
+	t.Run("stream of another node, over several pages", func(t *testing.T) {
+		l := &fakeLog{pageSize: 3}
+		_, o := newOriginsAt(t, l)
+		for i := range 10 {
+			l.records = append(l.records, streamRecord(i))
+		}
+		wantFound(t, o, "stream-9", "v1", proxy.OriginShared)
+	})
+	t.Run("a record that was read before a retry at another version", func(t *testing.T) {
+		l := &fakeLog{}
+		_, o := newOriginsAt(t, l)
+		l.records = append(l.records, streamRecord(0))
+		wantFound(t, o, "stream-0", "v1", proxy.OriginShared)
+		retried := streamRecord(0)
+		retried.Attempt, retried.Version = 2, "v2"
+		l.records = append(l.records, retried)
+		wantFound(t, o, "stream-0", "v2", proxy.OriginShared)
+	})
+	t.Run("unknown stream", func(t *testing.T) {
+		l := &fakeLog{records: []origin.Record{streamRecord(0)}}
+		_, o := newOriginsAt(t, l)
+		got := findStream(t, o, "other")
+		if got.Source != proxy.OriginUnknown || !got.Complete || !slices.Equal(got.Versions, []string{"v1"}) {
+			t.Errorf("outcome is %+v, want a complete one with version v1 of the service", got)
+		}
+	})
+	t.Run("the log is down", func(t *testing.T) {
+		l := &fakeLog{records: []origin.Record{streamRecord(0)}}
+		_, o := newOriginsAt(t, l)
+		wantFound(t, o, "stream-0", "v1", proxy.OriginShared)
+		l.down = true
+		if got := findStream(t, o, "stream-0"); got.Source != proxy.OriginUnknown || got.Complete {
+			t.Errorf("outcome is %+v, want an incomplete one", got)
+		}
+	})
+	t.Run("restored log", func(t *testing.T) {
+		l := &fakeLog{records: []origin.Record{streamRecord(0), streamRecord(1), streamRecord(2)}}
+		_, o := newOriginsAt(t, l)
+		wantFound(t, o, "stream-2", "v1", proxy.OriginShared)
+		l.epoch, l.records = 1, []origin.Record{streamRecord(7)}
+		wantFound(t, o, "stream-7", "v1", proxy.OriginShared)
+		wantFound(t, o, "stream-2", "v1", proxy.OriginShared)
+	})
+	t.Run("lookups at once share reads", func(t *testing.T) {
+		l := &fakeLog{records: []origin.Record{streamRecord(0)}, delay: 20 * time.Millisecond}
+		_, o := newOriginsAt(t, l)
+		var lookups sync.WaitGroup
+		for range 50 {
+			lookups.Go(func() { wantFound(t, o, "stream-0", "v1", proxy.OriginShared) })
+		}
+		lookups.Wait()
+		if l.reads > 4 {
+			t.Errorf("%d reads for 50 lookups at once, want few", l.reads)
+		}
+	})
+	t.Run("silent log", func(t *testing.T) {
+		l := &fakeLog{delay: time.Minute}
+		_, o := newOriginsAt(t, l)
+		started := time.Now()
+		if got := findStream(t, o, "stream-0"); got.Complete {
+			t.Errorf("outcome is %+v, want an incomplete one", got)
+		}
+		if took := time.Since(started); took > 2*lookupTimeout {
+			t.Errorf("lookup took %s, want %s at most", took, lookupTimeout)
+		}
+	})
+}
