Say in the log when a service has only one version again

A host that has just started knows of versions that left only from the records of others, and records have no age that hosts whose clocks differ could agree on. After a release that had long ended, a fleet that starts anew would have refused every resumed stream whose record was not needed, for 20 s. Change: the first stream that a host sends without a record is preceded by a record without an attempt, which says that the service has had only this version for 20 s. Readers forget the other versions at it, as all streams of theirs have ended.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -16,9 +16,10 @@
 // lives, with all retries of its client.
 const Window = 20 * time.Second
 
-// A Record says which version a client's attempt was sent to.
+// A Record says which version a client's attempt was sent to. Without an ID, it says that
+// the service has had only this version for the duration Window.
 type Record struct {
-	// ID is the client's identifier of the attempt.
+	// ID is the client's identifier of the attempt, or empty.
 	ID      string
 	Service string
 	Version string
@@ -27,6 +28,9 @@
 	Attempt int
 }
 
+// Settles reports whether the record says that its service has only one version.
+func (r Record) Settles() bool { return r.ID == "" }
+
 // A Memory holds the newest records by ID, each for the duration Window. The zero value is
 // empty.
 type Memory struct {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -101,6 +101,16 @@
 		v.See(start, "s", "v1")
 		wantRecent(t, &v, start.Add(Window), "v1")
 	})
+	t.Run("records of others", func(t *testing.T) {
+		var v Versions
+		v.Note(start, Record{ID: "a", Service: "s", Version: "v1"})
+		v.Note(start, Record{ID: "b", Service: "s", Version: "v2"})
+		wantRecent(t, &v, start, "v1", "v2")
+		v.Note(start, Record{Service: "s", Version: "v2"})
+		wantRecent(t, &v, start, "v2")
+		v.Note(start, Record{ID: "c", Service: "s", Version: "v1"})
+		wantRecent(t, &v, start, "v1", "v2")
+	})
 	t.Run("watched since the first upstreams", func(t *testing.T) {
 		var v Versions
 		v.Observe(start, nil)
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// Note takes note of a record that another node wrote.
+func (v *Versions) Note(now time.Time, r Record) {
+	if r.Settles() {
+		delete(v.services, r.Service)
+	}
+	v.See(now, r.Service, r.Version)
+}
+
 // endSights marks all versions as no longer registered and forgets those that were last
 // seen too long ago.
 func (v *Versions) endSights(now time.Time) {
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -53,9 +53,14 @@
 	if r.route.Kind != fleet.Stream || !r.route.Resumable || r.origin.source != OriginUnknown {
 		return
 	}
+	share := n.severalVersions(now, r.service)
+	if n.sharing[r.service] && !share {
+		// The records that end here must not make new nodes expect several versions.
+		n.emit(RecordOrigin{Record: origin.Record{Service: r.service, Version: r.upstream.Version}, Share: true})
+	}
+	n.sharing[r.service] = share
 	n.emit(RecordOrigin{
-		Record: origin.Record{ID: r.ID, Service: r.service, Version: r.upstream.Version, Attempt: r.attempt},
-		Share:  n.severalVersions(now, r.service),
+		Record: origin.Record{ID: r.ID, Service: r.service, Version: r.upstream.Version, Attempt: r.attempt}, Share: share,
 	})
 }
 
@@ -73,6 +78,7 @@
 	n.versions.Observe(now, upstreams)
 	for service, before := range several {
 		if !before && n.severalVersions(now, service) {
+			n.sharing[service] = true
 			n.emit(ShareOrigins{Service: service})
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,6 +38,8 @@
 	requests map[uint64]*request
 	// versions are the software versions that each service has had lately.
 	versions origin.Versions
+	// sharing is true for the services whose streams are recorded for other nodes.
+	sharing map[string]bool
 	// stageWorkers is the number of stage workers by zone.
 	stageWorkers map[string]int
 	// firstEventTimes is the moving average of the time from sending a request to
@@ -70,6 +72,7 @@
 		requests:        make(map[uint64]*request),
 		firstEventTimes: make(map[string]time.Duration),
 		answerTimes:     make(map[string]time.Duration),
+		sharing:         make(map[string]bool),
 		nodes:           1,
 		counts:          Counts{Replies: make(map[Reason]int64)},
 	}
--- a/relay/lookup.go
+++ b/relay/lookup.go
@@ -173,8 +173,10 @@
 	defer o.mu.Unlock()
 	now := o.server.now()
 	for _, r := range page.Records {
-		o.shared.Put(now, r)
-		o.versions.See(now, r.Service, r.Version)
+		o.versions.Note(now, r)
+		if !r.Settles() {
+			o.shared.Put(now, r)
+		}
 	}
 	o.next = page.Next
 	return page.Next >= page.End
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -56,7 +56,9 @@
 func (o *origins) record(r origin.Record, share bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.own.Put(o.server.now(), r)
+	if !r.Settles() {
+		o.own.Put(o.server.now(), r)
+	}
 	if share {
 		o.enqueue(r)
 	}
@@ -122,7 +124,7 @@
 	for len(o.pending) > 0 && len(batch) < maxRecordsPerAppend {
 		r := o.pending[0]
 		o.pending = o.pending[1:]
-		if _, _, ok := o.own.Get(o.server.now(), r.ID); ok {
+		if _, _, ok := o.own.Get(o.server.now(), r.ID); ok || r.Settles() {
 			batch = append(batch, r)
 		}
 	}
--- a/relay/origins_test.go
+++ b/relay/origins_test.go
@@ -198,6 +198,17 @@
 			t.Errorf("outcome is %+v, want a complete one with version v1 of the service", got)
 		}
 	})
+	t.Run("one version is left", func(t *testing.T) {
+		other := origin.Record{ID: "other", Service: "engine", Version: "v2", Attempt: 1}
+		l := &fakeLog{records: []origin.Record{streamRecord(0), other}}
+		d, o := newOriginsAt(t, l)
+		o.record(origin.Record{Service: "engine", Version: "v2"}, true)
+		d.await("the record is in the log", func() bool { records, _ := l.count(); return records == 3 })
+		if got := findStream(t, o, "unknown").Versions; !slices.Equal(got, []string{"v2"}) {
+			t.Errorf("versions are %q, want v2 only", got)
+		}
+		wantFound(t, o, "stream-0", "v1", proxy.OriginShared)
+	})
 	t.Run("the log is down", func(t *testing.T) {
 		l := &fakeLog{records: []origin.Record{streamRecord(0)}}
 		_, o := newOriginsAt(t, l)
