Look up every stream that a client resumes

A host took a service for one of a single version while another one, whose view was half a second newer, already sent streams to the next version and recorded them. If that host was lost, its streams were resumed at the old version.

Tests: the subtest 'another node has seen a new version earlier' of proxy.TestResumedByClient, which the code before answers with a send to v1 without a lookup. The subtest that wanted no lookup now wants that a service of one version goes on while the records cannot be read.

--- a/proxy/request.go
+++ b/proxy/request.go
@@ -158,7 +158,7 @@
 	n.record(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())
 	if r.route.Kind == fleet.Stream && r.LastEventID != "" {
-		n.findOrigin(now, r)
+		n.findOrigin(r)
 		return
 	}
 	n.start(now, r)
--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -19,13 +19,9 @@
 	return q.ID
 }
 
-// findOrigin finds the version that began the stream that a client resumes. If its service
-// has had only one version lately, that is the one.
-func (n *Node) findOrigin(now time.Time, r *request) {
-	if version, ok := n.onlyVersion(now, r.service, OriginFound{}); ok {
-		n.resume(now, r, streamOrigin{version: version, source: OriginOnly, learned: now})
-		return
-	}
+// findOrigin looks for the version that began the stream that a client resumes, also if
+// the service seems to have had only one: another node may have seen a new one earlier.
+func (n *Node) findOrigin(r *request) {
 	r.findingOrigin = true
 	n.emit(FindOrigin{Number: r.Number, ID: r.Resumes, Service: r.service})
 }
--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -86,12 +86,23 @@
 		h.step(OriginFound{Number: h.number, Complete: true})
 		h.wantRefused(ReasonUnknownOrigin)
 	})
-	t.Run("one version only, without a lookup", func(t *testing.T) {
+	t.Run("unknown while one version serves and the records cannot be read", func(t *testing.T) {
 		h := newHarness(t)
 		h.watch("v1", "v1")
 		h.resume()
+		h.step(OriginFound{Number: h.number})
 		h.wantSent("v1")
 	})
+	t.Run("another node has seen a new version earlier", func(t *testing.T) {
+		h := newHarness(t)
+		h.watch("v1")
+		h.resume(1, 1)
+		h.found("v2")
+		h.wantRefused(ReasonNoUpstream)
+		h.resume(1, 1)
+		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v2"}})
+		h.wantRefused(ReasonUnknownOrigin)
+	})
 	t.Run("new node, no records of other versions", func(t *testing.T) {
 		h := newHarnessWith(t, "v1")
 		h.resume()
@@ -114,6 +125,7 @@
 		h := newHarness(t)
 		h.watch("v1")
 		h.resume(1, 1)
+		h.step(OriginFound{Number: h.number, Complete: true})
 		h.registerEngines("v2")
 		h.stageDone(0, "a", "h1")
 		h.stageDone(1, "a", "h2")
@@ -182,6 +194,7 @@
 		h.step(RequestArrived{Request{
 			Number: 101, ID: fmt.Sprint("again-", i), Host: "h", Path: "/stream/x", APIKey: "key", LastEventID: "3", Resumes: first,
 		}})
+		h.step(OriginFound{Number: 101, Complete: true})
 		if got := find[Send](h).Upstream.Service; got != began {
 			t.Errorf("stream that began at %q goes on at %q", began, got)
 		}
