End a read of the records of streams that gets no further

A page without records before the end of the log would have been asked for again and again until the lookup's timeout, and each call to the store has a price. Found by reading the code; the subtest 'pages without records' of relay.TestLookups counts the reads. The first page of a restored log counts if it begins at the first record.

--- a/relay/lookup.go
+++ b/relay/lookup.go
@@ -81,7 +81,10 @@
 	return o.versions.Recent(o.server.now(), service)
 }
 
-var errNoOriginLog = errors.New("no log of the versions of streams")
+var (
+	errNoOriginLog = errors.New("no log of the versions of streams")
+	errNoProgress  = errors.New("page has no records before the end of the log")
+)
 
 // readNow waits for a read of the log that began after the call: a read that is in
 // progress may miss the newest record of a stream.
@@ -136,13 +139,17 @@
 func (o *origins) readAll(ctx context.Context) error {
 	o.observeEpoch(o.server.storeEpoch())
 	for {
-		page, err := o.log.ReadOrigins(ctx, o.position())
+		from := o.position()
+		page, err := o.log.ReadOrigins(ctx, from)
 		if err != nil {
 			return fmt.Errorf("read versions of streams: %w", err)
 		}
-		if o.apply(page) {
+		if o.apply(from, page) {
 			return nil
 		}
+		if o.position() == from {
+			return fmt.Errorf("read versions of streams from %d: %w", from, errNoProgress)
+		}
 	}
 }
 
@@ -164,9 +171,10 @@
 	return true
 }
 
-// apply takes a page and reports whether it was the last one.
-func (o *origins) apply(page infra.OriginPage) bool {
-	if o.observeEpoch(page.Epoch) {
+// apply applies a page that was read from an offset and reports whether it was the last
+// one. The first page after a restoration counts only if it begins at the first record.
+func (o *origins) apply(from int64, page infra.OriginPage) bool {
+	if o.observeEpoch(page.Epoch) && from > 0 {
 		return false
 	}
 	o.mu.Lock()
--- a/relay/origins_test.go
+++ b/relay/origins_test.go
@@ -24,6 +24,8 @@
 	records []origin.Record
 	appends int
 	reads   int
+	// withheld is true if pages have no records.
+	withheld bool
 	// delay is the time of a read.
 	delay time.Duration
 	// pageSize bounds the records of a page if it is not 0.
@@ -58,6 +60,9 @@
 	if l.pageSize > 0 {
 		next = min(end, from+int64(l.pageSize))
 	}
+	if l.withheld {
+		next = from
+	}
 	return infra.OriginPage{Records: l.records[min(from, end):next], Next: next, End: end, Epoch: l.epoch}, nil
 }
 
@@ -226,6 +231,10 @@
 		wantFound(t, o, "stream-7", "v1", proxy.OriginShared)
 		wantFound(t, o, "stream-2", "v1", proxy.OriginShared)
 	})
+	t.Run("new node after a restoration", func(t *testing.T) {
+		_, o := newOriginsAt(t, &fakeLog{epoch: 2, records: []origin.Record{streamRecord(0)}})
+		wantFound(t, o, "stream-0", "v1", proxy.OriginShared)
+	})
 	t.Run("lookups at once share reads", func(t *testing.T) {
 		l := &fakeLog{records: []origin.Record{streamRecord(0)}, delay: 20 * time.Millisecond}
 		_, o := newOriginsAt(t, l)
@@ -238,6 +247,13 @@
 			t.Errorf("%d reads for 50 lookups at once, want few", l.reads)
 		}
 	})
+	t.Run("pages without records", func(t *testing.T) {
+		l := &fakeLog{records: []origin.Record{streamRecord(0)}, withheld: true}
+		_, o := newOriginsAt(t, l)
+		if got := findStream(t, o, "stream-0"); got.Complete || l.reads != 1 {
+			t.Errorf("outcome is %+v after %d reads, want an incomplete one after 1", got, l.reads)
+		}
+	})
 	t.Run("silent log", func(t *testing.T) {
 		l := &fakeLog{delay: time.Minute}
 		_, o := newOriginsAt(t, l)
