--- a/proxy/event.go
+++ b/proxy/event.go
@@ -5,6 +5,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/fleet"
+	"teaselplank/origin"
 	"teaselplank/trace"
 )
 
@@ -31,6 +32,9 @@
 	// LastEventID is the ID of the last event that the client has received if it
 	// resumes a stream, or empty.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that
+	// the client resumes, or empty.
+	Resumes string
 }
 
 // An Event is an input of the reducer.
@@ -39,6 +43,19 @@
 type (
 	// RequestArrived reports a new client request.
 	RequestArrived struct{ Request Request }
+	// OriginFound reports what the node knows about the stream that a client resumes.
+	OriginFound struct {
+		Number uint64
+		// Source is OriginUnknown if there is no record of the stream. Age is the time
+		// since the node got the record.
+		Source OriginSource
+		Record origin.Record
+		Age    time.Duration
+		// Complete is true if the records of all nodes were read. Versions are those of
+		// the service that recent records name.
+		Complete bool
+		Versions []string
+	}
 	// StageDone reports the results of a stage.
 	StageDone struct {
 		Number  uint64
@@ -131,6 +148,7 @@
 )
 
 func (RequestArrived) ProxyEvent()      {}
+func (OriginFound) ProxyEvent()         {}
 func (StageDone) ProxyEvent()           {}
 func (StageFailed) ProxyEvent()         {}
 func (HeadReceived) ProxyEvent()        {}
@@ -259,6 +277,22 @@
 		Number   uint64
 		Deadline time.Time
 	}
+	// FindOrigin requests the record of the stream that a client resumes, whose first
+	// event came in answer to the attempt ID.
+	FindOrigin struct {
+		Number  uint64
+		ID      string
+		Service string
+	}
+	// RecordOrigin requests that the version that a stream is sent to be remembered, and
+	// be shared with the other nodes if Share is true.
+	RecordOrigin struct {
+		Record origin.Record
+		Share  bool
+	}
+	// ShareOrigins requests that all remembered versions of the streams of a service be
+	// shared with the other nodes.
+	ShareOrigins struct{ Service string }
 	// RecordDecision requests that a decision be logged and counted.
 	RecordDecision struct{ Record DecisionRecord }
 )
@@ -272,6 +306,9 @@
 func (Release) ProxyEffect()        {}
 func (Withdraw) ProxyEffect()       {}
 func (Admitted) ProxyEffect()       {}
+func (FindOrigin) ProxyEffect()     {}
+func (RecordOrigin) ProxyEffect()   {}
+func (ShareOrigins) ProxyEffect()   {}
 func (RecordDecision) ProxyEffect() {}
 
 // Reason is the reason for the outcome of a request.
@@ -293,6 +330,7 @@
 	ReasonClientLeft     Reason = "client has left"
 	ReasonAnswered       Reason = "answered"
 	ReasonInvalidRequest Reason = "request is not valid"
+	ReasonUnknownOrigin  Reason = "version that began the stream is not known"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- /dev/null
+++ b/proxy/origin.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"time"
+
+	"teaselplank/fleet"
+	"teaselplank/origin"
+)
+
+// OriginSource says how a node knows which version began a stream.
+type OriginSource string
+
+// The sources of origins.
+const (
+	// OriginUnknown means that the node does not know the version.
+	OriginUnknown OriginSource = ""
+	// OriginAnswer means that the stream began in the answer of the request itself.
+	OriginAnswer OriginSource = "answer"
+	// OriginOwn means that this node sent the stream, and OriginShared that another node
+	// did and recorded it.
+	OriginOwn    OriginSource = "own"
+	OriginShared OriginSource = "shared"
+	// OriginOnly means that the service has had only one version lately.
+	OriginOnly OriginSource = "only version"
+)
+
+// A streamOrigin is what a node knows about the software version that began a stream. The
+// zero value knows nothing.
+type streamOrigin struct {
+	version string
+	source  OriginSource
+	// learned is when the node learned the version.
+	learned time.Time
+}
+
+// allows reports whether an upstream may go on with the stream. Events of different
+// versions do not fit together.
+func (o streamOrigin) allows(u *upstream) bool {
+	return o.source == OriginUnknown || u.Version == o.version
+}
+
+// attrs returns the origin as keys and values of a log line.
+func (o streamOrigin) attrs(now time.Time) []any {
+	if o.source == OriginUnknown {
+		return []any{"began", "", "began_by", ""}
+	}
+	return []any{"began", o.version, "began_by", string(o.source), "began_age_ms", now.Sub(o.learned).Milliseconds()}
+}
+
+// setOrigin sets the version that began the stream of a request to that of the attempt with
+// the first event.
+func (n *Node) setOrigin(now time.Time, r *request, a *attempt) {
+	if r.origin.source != OriginUnknown {
+		return
+	}
+	if a.number < r.attempts {
+		// The record of a later attempt holds until now.
+		n.recordOrigin(now, r, a)
+	}
+	r.origin = streamOrigin{version: a.upstream.Version, source: OriginAnswer, learned: now}
+}
+
+// recordOrigin records the version that a stream is sent to, if its client may resume it. A
+// service with one version needs no records at other nodes.
+func (n *Node) recordOrigin(now time.Time, r *request, a *attempt) {
+	if r.route.Kind != fleet.Stream || !r.route.Resumable || r.origin.source != OriginUnknown {
+		return
+	}
+	share := n.severalVersions(now, r.service)
+	if n.sharing[r.service] && !share {
+		// The records that end here must not make new nodes expect several versions.
+		n.emit(RecordOrigin{Record: origin.Record{Service: r.service, Version: a.upstream.Version}, Share: true})
+	}
+	n.sharing[r.service] = share
+	n.emit(RecordOrigin{
+		Record: origin.Record{ID: r.ID, Service: r.service, Version: a.upstream.Version, Attempt: r.attempts}, Share: share,
+	})
+}
+
+func (n *Node) severalVersions(now time.Time, service string) bool {
+	return len(n.versions.Recent(now, service)) > 1
+}
+
+// observeVersions notes the versions of the upstreams. The streams that a service began
+// while it had one version must be known to other nodes once it has several.
+func (n *Node) observeVersions(now time.Time, upstreams []fleet.Upstream) {
+	several := make(map[string]bool)
+	for _, u := range upstreams {
+		several[u.Service] = n.severalVersions(now, u.Service)
+	}
+	n.versions.Observe(now, upstreams)
+	for service, before := range several {
+		if !before && n.severalVersions(now, service) {
+			n.sharing[service] = true
+			n.emit(ShareOrigins{Service: service})
+		}
+	}
+}
--- /dev/null
+++ b/proxy/origin_test.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"teaselplank/fleet"
+	"teaselplank/origin"
+)
+
+// engines returns engines of the given versions, named by their positions from e0 on.
+func engines(versions ...string) []fleet.Upstream {
+	var list []fleet.Upstream
+	for i, version := range versions {
+		list = append(list, fleet.Upstream{ID: "e" + string(rune('0'+i)), Born: 1, Service: "engine", Version: version, Zone: "a", Slots: 4})
+	}
+	return list
+}
+
+func (h *harness) registerEngines(versions ...string) {
+	h.step(UpstreamsRegistered{Upstreams: engines(versions...)})
+}
+
+// begin sends a stream to an upstream, which passes its first event on, and returns the
+// version.
+func (h *harness) begin(attempt int) string {
+	h.t.Helper()
+	version := find[Send](h).Upstream.Version
+	h.respond(attempt, http.StatusOK, false)
+	h.step(FirstEvent{Number: h.number, Attempt: attempt})
+	return version
+}
+
+// arriveWithPrefix lets a stream arrive whose prompt has a prefix, by which its engine is
+// chosen.
+func (h *harness) arriveWithPrefix(prefix string) {
+	h.number++
+	h.step(RequestArrived{Request{
+		Number: h.number, ID: "id", Host: "h", Path: "/stream/x", APIKey: "key", Timeout: 6 * time.Second, SharedPrefix: prefix,
+	}})
+}
+
+func (h *harness) wantSent(version string) {
+	h.t.Helper()
+	if got := find[Send](h).Upstream.Version; got != version {
+		h.t.Errorf("stream is sent to version %q, want %q", got, version)
+	}
+}
+
+// Guards against a stream that goes on at another version than the one that began it.
+func TestStreamOfTwoVersions(t *testing.T) {
+	t.Run("goes on at its version", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2", "v1", "v2", "v3")
+		for i := range 8 {
+			h.arriveWithPrefix(fmt.Sprint(i))
+			version := h.begin(1)
+			if version == "v3" {
+				continue
+			}
+			h.attemptFailed(1, ConnectionFailed, "4")
+			h.wantSent(version)
+		}
+	})
+	t.Run("no upstream of the version is left", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2", "v2")
+		h.arrive("/stream/x")
+		for find[Send](h).Upstream.Version != "v1" {
+			h.arrive("/stream/x")
+		}
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		if got := find[Abort](h).Reason; got != ReasonUpstreamFailed {
+			t.Errorf("answer is aborted with reason %q, want %q", got, ReasonUpstreamFailed)
+		}
+	})
+	t.Run("the last upstream of the version drains before the retry", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1")
+		h.arrive("/stream/x", 1, 1)
+		h.stageDone(0, "a", "h1")
+		h.stageDone(1, "a", "h2")
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		list := engines("v1", "v1", "v2")
+		list[0].Draining, list[1].Draining = true, true
+		h.step(UpstreamsRegistered{Upstreams: list})
+		h.stageDone(0, "a", "h3")
+		h.stageDone(1, "a", "h4")
+		find[Abort](h)
+	})
+	t.Run("stalled with only other versions left", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		h.begin(1)
+		h.stall(1, "1")
+		h.wantNone("no other upstream can go on with the stream", isSend)
+	})
+	t.Run("a silent attempt goes on after one at another version was made", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		first := find[Send](h).Upstream.Version
+		h.stall(1, "")
+		if got := find[Send](h).Upstream.Version; got == first {
+			t.Fatalf("stream is sent to version %q again", got)
+		}
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		if r := find[RecordOrigin](h).Record; r.Version != first || r.Attempt != 2 {
+			t.Errorf("record is %+v, want version %q in place of that of attempt 2", r, first)
+		}
+		h.attemptFailed(1, ConnectionFailed, "4")
+		h.wantNone("no upstream of its version is left", isSend)
+	})
+	t.Run("a retry before the first event may change the version", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		first := find[Send](h).Upstream.Version
+		h.attemptFailed(1, ConnectionFailed, "")
+		if got := find[Send](h).Upstream.Version; got == first {
+			t.Errorf("stream is sent to version %q again", got)
+		}
+	})
+	t.Run("the version of the second attempt counts if it brings the first event", func(t *testing.T) {
+		h := newHarness(t)
+		c := testConfig()
+		c.Version, c.Routes[2].Attempts = 2, 3
+		h.step(Configured{Table: fleet.NewTable(c)})
+		h.registerEngines("v1", "v2", "v1", "v2")
+		h.arrive("/stream/x")
+		first := find[Send](h).Upstream.Version
+		for number := h.number; find[Send](h).Upstream.Version == first; {
+			h.step(AttemptFailed{Number: number, Attempt: h.node.requests[number].attempts, Failure: Unreachable})
+		}
+		second := h.node.requests[h.number].attempts
+		version := h.begin(second)
+		h.attemptFailed(second, ConnectionFailed, "4")
+		h.wantSent(version)
+	})
+	t.Run("versions of other services play no role", func(t *testing.T) {
+		h := newHarness(t)
+		var desks []fleet.Upstream
+		for _, u := range engines("v1", "v2") {
+			u.Service = "desk"
+			desks = append(desks, u)
+		}
+		h.step(UpstreamsRegistered{Upstreams: desks})
+		h.arrive("/safe/x")
+		first := find[Send](h).Upstream.Version
+		h.respond(1, http.StatusInternalServerError, false)
+		if got := find[Send](h).Upstream.Version; got == first {
+			t.Errorf("request is sent to version %q again", got)
+		}
+	})
+	t.Run("the pause of other versions does not matter", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1", "v2")
+		const pause = 3 * time.Second
+		r := &request{origin: streamOrigin{version: "v1", source: OriginAnswer}}
+		h.step(UpstreamHeld{ID: "e0", Born: 1, Until: h.now.Add(pause)})
+		h.step(UpstreamHeld{ID: "e1", Born: 1, Until: h.now.Add(pause)})
+		if got := h.node.pools["engine"].pauseLeft(h.now, r); got != pause {
+			t.Errorf("pause is %s, want %s", got, pause)
+		}
+	})
+}
+
+// Nodes that a client may resume at know the versions of streams only from records, which
+// cost a call each, so that they are made only while a service has several versions.
+func TestRecordsOfOrigins(t *testing.T) {
+	wantRecord := func(t *testing.T, h *harness, attempt int, share bool) {
+		t.Helper()
+		sent, got := find[Send](h).Upstream, find[RecordOrigin](h)
+		want := RecordOrigin{Record: origin.Record{ID: "id", Service: "engine", Version: sent.Version, Attempt: attempt}, Share: share}
+		if got != want {
+			t.Errorf("record is %+v, want %+v", got, want)
+		}
+	}
+	t.Run("one version", func(t *testing.T) {
+		h := newHarnessWith(t, "v1", "v1")
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, false)
+	})
+	t.Run("each attempt before the first event", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, true)
+		h.attemptFailed(1, ConnectionFailed, "")
+		wantRecord(t, h, 2, true)
+	})
+	t.Run("no attempt after the first event", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v1", "v2", "v2")
+		h.arrive("/stream/x")
+		h.begin(1)
+		h.attemptFailed(1, ConnectionFailed, "4")
+		find[Send](h)
+		wantNoRecord(t, h)
+	})
+	t.Run("requests that cannot be resumed", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/safe/x")
+		wantNoRecord(t, h)
+	})
+	t.Run("a version that left lately counts", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.registerEngines("v2")
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, true)
+	})
+	t.Run("one version is left", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1", "v2")
+		h.arrive("/stream/x")
+		h.registerEngines("v2")
+		h.now = h.now.Add(origin.Window)
+		h.arrive("/stream/x")
+		var records []RecordOrigin
+		for _, e := range h.effects {
+			if e, ok := e.(RecordOrigin); ok {
+				records = append(records, e)
+			}
+		}
+		want := []RecordOrigin{
+			{Record: origin.Record{Service: "engine", Version: "v2"}, Share: true},
+			{Record: origin.Record{ID: "id", Service: "engine", Version: "v2", Attempt: 1}},
+		}
+		if !slices.Equal(records, want) {
+			t.Errorf("records are %+v, want %+v", records, want)
+		}
+		h.arrive("/stream/x")
+		wantRecord(t, h, 1, false)
+	})
+	t.Run("streams that began before the second version came", func(t *testing.T) {
+		h := newHarness(t)
+		h.registerEngines("v1")
+		h.now = h.now.Add(origin.Window)
+		h.registerEngines("v1", "v2")
+		if got := find[ShareOrigins](h).Service; got != "engine" {
+			t.Errorf("streams of service %q are shared, want engine", got)
+		}
+		h.registerEngines("v1", "v2", "v3")
+		for _, e := range h.effects {
+			if _, ok := e.(ShareOrigins); ok {
+				t.Error("streams are shared again")
+			}
+		}
+	})
+}
+
+func wantNoRecord(t *testing.T, h *harness) {
+	t.Helper()
+	for _, e := range h.effects {
+		if e, ok := e.(RecordOrigin); ok {
+			t.Errorf("record is %+v, want none", e)
+		}
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -62,7 +62,8 @@
 
 // register replaces the set of upstreams. An upstream that is still the same process
 // keeps its recorded state.
-func (n *Node) register(upstreams []fleet.Upstream) {
+func (n *Node) register(now time.Time, upstreams []fleet.Upstream) {
+	n.observeVersions(now, upstreams)
 	old := n.pools
 	n.pools = make(map[string]*pool)
 	for _, u := range upstreams {
@@ -85,13 +86,13 @@
 	n.countWorkers()
 }
 
-// candidates returns the usable upstreams of the pool, except those already tried. If
-// there are none, those of suspect zones that have not failed themselves are usable: their
-// zone may be reachable, and only one of its upstreams silent.
-func (p *pool) candidates(now time.Time, tried []string) []picker.Candidate {
+// candidates returns the usable upstreams of the pool that a request may be sent to and
+// that it has not tried. If there are none, those of suspect zones that have not failed
+// themselves are usable: their zone may be reachable, and only one of its upstreams silent.
+func (p *pool) candidates(now time.Time, r *request) []picker.Candidate {
 	var found, ofSuspectZones []picker.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || u.pause.Active(now) || slices.Contains(tried, u.ID) {
+		if u.Draining || u.pause.Active(now) || slices.Contains(r.tried, u.ID) || !r.origin.allows(u) {
 			continue
 		}
 		switch {
@@ -121,12 +122,12 @@
 	}
 }
 
-// pauseLeft returns how long all upstreams of the pool want no requests, or 0 if one of
-// them accepts some.
-func (p *pool) pauseLeft(now time.Time) time.Duration {
+// pauseLeft returns how long all upstreams that a request may be sent to want no
+// requests, or 0 if one of them accepts some.
+func (p *pool) pauseLeft(now time.Time, r *request) time.Duration {
 	var pauses []health.Pause
 	for _, u := range p.upstreams {
-		if !u.Draining {
+		if !u.Draining && r.origin.allows(u) {
 			pauses = append(pauses, u.pause)
 		}
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -82,6 +82,10 @@
 	lastEventID     string
 	// lastFailure is how the last failed attempt ended, or empty.
 	lastFailure Failure
+	// origin is the software version that began the stream. findingOrigin is true while
+	// the request waits until the node has looked for it.
+	origin        streamOrigin
+	findingOrigin bool
 }
 
 // A stageState is the progress of one stage.
@@ -137,7 +141,7 @@
 		n.reply(now, r, http.StatusUnauthorized, ReasonUnknownKey, 0)
 		return
 	}
-	r.service = r.route.Target(q.ID)
+	r.service = r.route.Target(targetID(q))
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.setDeadlines(now, r)
 	if n.outlastsStop(now, r) {
@@ -145,10 +149,19 @@
 		return
 	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
-	n.chooseHomeZone(now, r)
 	n.counts.Admitted++
 	n.record(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())
+	if r.route.Kind == fleet.Stream && r.LastEventID != "" {
+		n.findOrigin(r)
+		return
+	}
+	n.start(now, r)
+}
+
+// start starts the stages of a request, or sends it.
+func (n *Node) start(now time.Time, r *request) {
+	n.chooseHomeZone(now, r)
 	n.advance(now, r)
 }
 
@@ -158,7 +171,7 @@
 func (n *Node) chooseHomeZone(now time.Time, r *request) {
 	r.homeZone = n.config.Zone
 	if p := n.pools[r.service]; p != nil && n.isEngine(r.service) {
-		if c, ok := (picker.PrefixAffinity{SharedPrefix: r.SharedPrefix}).Pick(n.setZoneWeights(p.candidates(now, nil))); ok {
+		if c, ok := (picker.PrefixAffinity{SharedPrefix: r.SharedPrefix}).Pick(n.setZoneWeights(p.candidates(now, r))); ok {
 			r.homeZone = c.Zone
 		}
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -233,10 +233,11 @@
 	if c.table != nil {
 		s.node.Step(s.now(), proxy.Configured{Table: c.table})
 	}
-	s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
+	effects := s.node.Step(s.now(), proxy.UpstreamsRegistered{Upstreams: upstreams})
 	before := s.division
 	s.config, s.division = c, division
 	s.mu.Unlock()
+	s.perform(effects)
 	if division.Owners() != before.Owners() {
 		s.logger.Info("stages are divided", "owners", division.Owners(), "before", before.Owners(), "upstreams", len(upstreams))
 	}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -23,6 +23,8 @@
 	AttemptStalled   Decision = "attempt stalled"
 	AttemptContinued Decision = "attempt continued"
 	Awaited          Decision = "awaited"
+	// StreamResumed means that the client resumes a stream that an earlier request began.
+	StreamResumed Decision = "resume"
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
@@ -47,7 +49,7 @@
 // All returns all decisions.
 func All() []Decision {
 	return []Decision{
-		Admitted, Sent, AttemptFailed, Retried, AttemptStalled, AttemptContinued, Awaited, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
+		Admitted, Sent, AttemptFailed, Retried, AttemptStalled, AttemptContinued, Awaited, StreamResumed, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
 		StageAdmitted, StageRefused, OwnerFailed,
 	}
 }
