Keep the sound workers of a zone in use if a service has no others

Callers got 503 "stage has no worker" beside two sound workers: one connect timeout made all workers of its zone suspect, also those of services without a worker elsewhere, and several timeouts at the same moment added up to 3 s instead of 0.3. Workers of a zone are now marked only if their service keeps another one, and not twice for one silence.

TestSilentWorkerTakesItsZoneAlong failed before in both cases and passes.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -311,3 +311,33 @@
 	h.wantRefused(ref, ReasonNotOwner)
 	h.wantRefused(h.submit("later", "a", 2, time.Second), ReasonNotOwner)
 }
+
+// Workers that cannot be heard for a moment must not make those of their zone unusable.
+func TestSilentWorkerTakesItsZoneAlong(t *testing.T) {
+	t.Run("others run the next job", func(t *testing.T) {
+		h := newHarness(t, "a1", "a2", "a3")
+		h.submit("first", "a", 1, 5*time.Second)
+		h.now = h.now.Add(450 * time.Millisecond)
+		h.step(CallEnded{Call: h.sent[0].Number, Failure: ConnectTimeout})
+		ref := h.submit("second", "a", 1, 5*time.Second)
+		if r, refused := h.refused[ref]; refused {
+			t.Errorf("job is refused: %q, want it at one of two sound workers", r.Reason)
+		}
+	})
+	t.Run("calls at the same time are one failure", func(t *testing.T) {
+		h := newHarness(t, "a1", "a2", "a3", "a4", "a5")
+		for i := range 4 {
+			h.submit(fmt.Sprint(i), "a", 10, 5*time.Second)
+		}
+		calls := h.sent
+		h.now = h.now.Add(450 * time.Millisecond)
+		for _, c := range calls {
+			h.step(CallEnded{Call: c.Number, Failure: ConnectTimeout})
+		}
+		for _, w := range h.scheduler.pools["s"].workers {
+			if left := w.health.SuspectUntil().Sub(h.now); left > backoff.Min {
+				t.Errorf("worker %s is suspect for %s, want %s at most", w.upstream.ID, left, backoff.Min)
+			}
+		}
+	})
+}
--- a/batch/outcome.go
+++ b/batch/outcome.go
@@ -33,14 +33,28 @@
 }
 
 // markZoneSuspect marks the workers of a zone without a recent response as suspect,
-// since a network partition makes all of them unreachable at once.
+// since a network partition makes all of them unreachable at once. It spares services
+// that would be left without a worker: their zone may be reachable, and only one of its
+// workers silent.
 func (s *Scheduler) markZoneSuspect(now time.Time, zone string) {
 	for _, p := range s.pools {
+		var suspects []*worker
+		others := false
 		for _, w := range p.workers {
-			if w.upstream.Zone == zone && now.Sub(w.lastResponse) > recentResponseAge {
-				w.health.Fail(now, backoff)
+			switch {
+			case !w.usable(now):
+			case w.upstream.Zone == zone && now.Sub(w.lastResponse) > recentResponseAge:
+				suspects = append(suspects, w)
+			default:
+				others = true
 			}
 		}
+		if !others {
+			continue
+		}
+		for _, w := range suspects {
+			w.health.Fail(now, backoff)
+		}
 	}
 }
 
