Give each test process of relay a loopback address of its own

Seen once in a run of scripts/test.sh beside other test runs: TestEndlessStageReply failed (its node knew no upstream, yet a request to its address was answered, with four events of a slow stream). Cause: a port that freeAddress found free was taken by another test process before the node listened there. The node ended, and the test asked the other process's node instead. Port ranges by process id only made that seldom, and a process that starts some 300 nodes used up all ports, as nodes keep theirs.

--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -73,23 +73,28 @@
 // The ports of servers are below the operating system's ephemeral ports, so that no
 // connection and no listener on port 0 takes one before its server listens.
 const (
-	firstPort = 30000
+	firstPort = 10000
 	lastPort  = 31383
 	portCount = lastPort - firstPort + 1
-	// Successive process ids start far apart, so that concurrent test runs seldom meet.
-	portsPerProcessID = 1853
 )
 
 // portsTried is the number of ports that freeAddress has tried.
 var portsTried atomic.Int64
 
+// loopbackIP returns a loopback address that no other process uses, so that concurrent
+// test runs do not take each other's ports.
+func loopbackIP() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+id>>16&63, id>>8&255, id&255)
+}
+
 // freeAddress returns a loopback address on which no process listens. It tries each port
 // of the range once before it tries one again.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range portCount {
-		port := firstPort + (int64(os.Getpid())*portsPerProcessID+portsTried.Add(1))%portCount
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		port := firstPort + portsTried.Add(1)%portCount
+		l, err := net.Listen("tcp", fmt.Sprint(loopbackIP(), ":", port))
 		if err != nil {
 			continue // The port is in use.
 		}
@@ -140,6 +145,16 @@
 }
 
 func (d *deployment) isReady(n *testNode) bool {
+	d.t.Helper()
+	select {
+	case err := <-n.ended:
+		if n.ended <- err; err != nil {
+			// Another process may serve on its addresses.
+			d.t.Errorf("node has ended: %v", err)
+			return false
+		}
+	default:
+	}
 	r, err := http.Get("http://" + n.ready + "/readyz")
 	if err != nil {
 		return false
