Run the soak again when the program has changed

go test took results of the soak from its cache although relay had changed: the test builds the program with a command of its own, so nothing told the cache that the result depends on it. The test now imports the program's commands.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,9 @@
 	"strconv"
 	"testing"
 	"time"
+
+	// The test builds the program, so a cached result is valid only for this code.
+	_ "teaselplank/cmd/teaselplank/cmds"
 )
 
 // regressions are seeds that once failed. They run one after the other to limit the load
