--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -341,3 +341,27 @@
 		}
 	})
 }
+
+// A job whose worker is silent for longer than its call should take must not be refused
+// while the worker would still end it in time.
+func TestJobLostToSilence(t *testing.T) {
+	const silence, left = 1500 * time.Millisecond, 1700 * time.Millisecond
+	h := newHarness(t, "a1")
+	ref := Ref{Request: "r"}
+	deadline := h.now.Add(left)
+	h.step(Submit{Job: Job{
+		Ref: ref, Service: "s", Pieces: 1, ResultBytes: 10, Key: "k", Zone: "a", Due: deadline, StagesDue: deadline, Deadline: deadline,
+	}})
+	call := h.sent[0]
+	h.calls = nil // The worker is silent.
+	if call.Timeout < silence {
+		h.run(call.Timeout)
+		h.step(CallEnded{Call: call.Number, Failure: ConnectionFailed})
+		h.run(silence - call.Timeout)
+	} else {
+		h.run(silence)
+		h.step(h.outcome(call))
+	}
+	h.run(time.Second)
+	h.wantDone(ref, 1)
+}
