Add plans of silent upstreams and planned work to the soak

The soak had no upstream that is sound, falls silent for a moment and goes on: its link faults last up to 2.5 s, and its check excuses a stream that ends early during one of them. A host that ends an answer because its upstream was silent could therefore not be told from one that could not do better.

Plans of the kind Silences have silences of 0.8 to 1.6 s, in series, during publishes, reloads, replaced upstreams and terminations, and no faults. The proxy holds all bytes, also of new connections, and delivers them afterwards; an upstream has a second between two silences. Streams have 100 events, two workers run each stage, and requests have 4 s, the timeout of their routes.

The check: no request that a host has read ends without a complete response before its deadline. The number of responses with 502 or 504 before the deadline is a figure of the report. The times of the steps are written beside the logs of the hosts.

--- a/soak/check.go
+++ b/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,10 +11,11 @@
 )
 
 const (
-	// deadline is the deadline that stand.NewRequest sets for each request.
 	// deadlineSlack is how long after its deadline a request may end.
-	deadline      = 3 * time.Second
 	deadlineSlack = time.Second
+	// crossingTime is how long after it was written a request may fail that crosses the
+	// close of its connection.
+	crossingTime = 200 * time.Millisecond
 	// maxConfigDelay is the time within which every host applies a configuration.
 	maxConfigDelay = 3 * time.Second
 	// maxDrainDelay is the time after which a draining upstream gets no new work.
@@ -42,9 +44,12 @@
 
 func (r *record) violation(problem string) string {
 	return fmt.Sprintf("%s %s at %s %s: status %d, error %v, sent %s, took %s", r.id, r.path, r.host.name, problem,
-		r.status, r.err, r.sentAt.Format("15:04:05.000"), r.endedAt.Sub(r.sentAt).Round(time.Millisecond))
+		r.status, r.err, r.sentAt.Format(clockFormat), r.endedAt.Sub(r.sentAt).Round(time.Millisecond))
 }
 
+// clockFormat is the format of times in violations and in the list of steps.
+const clockFormat = "15:04:05.000"
+
 // check returns the violations in the records of the clients and the upstreams.
 func (d *deployment) check() []string {
 	var violations []string
@@ -79,6 +84,11 @@
 	return count
 }
 
+// wasForwarded reports whether an upstream ran a request or a piece of its stages.
+func (d *deployment) wasForwarded(r *record) bool {
+	return slices.ContainsFunc(d.upstreams, func(u *upstream) bool { return u.worker.Runs(r.id) > 0 })
+}
+
 // checkRuns checks that an unsafe request runs at most once, and not at all if its response
 // is a refusal.
 func (d *deployment) checkRuns(r *record) string {
@@ -104,7 +114,7 @@
 	}
 	want := "answer to " + r.id
 	if r.path == stand.PathStream {
-		want = allEvents()
+		want = allEvents(d.streamEvents)
 	}
 	switch {
 	case r.err == nil && r.body != want:
@@ -117,9 +127,9 @@
 	return ""
 }
 
-func allEvents() string {
+func allEvents(count int) string {
 	var events strings.Builder
-	for i := range streamEvents {
+	for i := range count {
 		fmt.Fprintf(&events, "id: %d\ndata: token %d\n\n", i, i)
 	}
 	return events.String()
@@ -128,7 +138,7 @@
 // checkDeadline checks that a request ends in time, unless its host was paused or
 // restarted.
 func (d *deployment) checkDeadline(r *record) string {
-	if r.endedAt.Sub(r.sentAt) <= deadline+deadlineSlack || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill, Terminate) {
+	if r.endedAt.Sub(r.sentAt) <= r.deadline+deadlineSlack || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill, Terminate) {
 		return ""
 	}
 	return "ends after its deadline"
@@ -140,6 +150,8 @@
 // upstream or its link fails, as the time left may be too short to resume it.
 func (d *deployment) checkAnswered(r *record) string {
 	switch {
+	case d.options.Kind == Silences:
+		return d.checkComplete(r)
 	case r.err == nil || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill):
 		return ""
 	case d.runCount(r) == 0 && d.faultDuring(r.host, r.sentAt, r.endedAt, Terminate):
@@ -150,6 +162,28 @@
 	return "ends without an answer"
 }
 
+// checkComplete checks, in a plan without faults, that a request has a complete response
+// unless its deadline was reached. A request that no host has read, or that crosses the
+// close of its connection on a host that shuts down, may fail.
+func (d *deployment) checkComplete(r *record) string {
+	switch {
+	case r.err == nil || r.writtenAt.IsZero() || r.endedEarly() <= 0:
+		return ""
+	case !d.wasForwarded(r) && r.endedAt.Sub(r.writtenAt) <= crossingTime && d.faultDuring(r.host, r.sentAt, r.endedAt, Terminate):
+		return ""
+	}
+	return "ends without a complete answer before its deadline"
+}
+
+// endedEarly returns how long before its deadline a request ended.
+func (r *record) endedEarly() time.Duration { return r.deadline - r.endedAt.Sub(r.sentAt) }
+
+// failedEarly reports whether a request got an error as its response before its deadline.
+func (r *record) failedEarly() bool {
+	failed := r.status == http.StatusBadGateway || r.status == http.StatusGatewayTimeout
+	return failed && r.endedEarly() > 0
+}
+
 // checkRoute checks that a route is served once its configuration is in force.
 func (d *deployment) checkRoute(r *record) string {
 	if r.status != http.StatusNotFound && r.status != http.StatusUnauthorized {
--- a/soak/client.go
+++ b/soak/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselplank/platform/stand"
@@ -23,14 +24,16 @@
 	// at endedAt.
 	sentAt  time.Time
 	endedAt time.Time
+	// writtenAt is when the request was written completely, or the zero time.
+	writtenAt time.Time
+	// deadline is the time from sentAt within which the client wants its response.
+	deadline time.Duration
 	// reused is true if the request was sent on a connection that was already open.
 	reused bool
-	// written is true if the request was written completely.
-	written bool
-	status  int
-	sealed  bool
-	body    string
-	err     error
+	status int
+	sealed bool
+	body   string
+	err    error
 }
 
 // A clientPool holds the state that the clients of a run share. Clients keep their
@@ -45,6 +48,8 @@
 	// configVersion is the newest version of the configuration that was written. Each
 	// version has a route of its own.
 	configVersion int
+	// deadline is the deadline of each request.
+	deadline time.Duration
 }
 
 // pollReady polls the readiness of the hosts, as a load balancer does, until the context
@@ -137,7 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
-	r := &record{id: fmt.Sprint("soak-", c.lastID), path: path, host: h}
+	r := &record{id: fmt.Sprint("soak-", c.lastID), path: path, host: h, deadline: c.deadline}
 	c.records = append(c.records, r)
 	return r
 }
@@ -145,17 +150,29 @@
 // send sends the request and reads its response.
 func (r *record) send(transport *http.Transport) {
 	r.sentAt = time.Now()
-	defer func() { r.endedAt = time.Now() }()
+	// The transport may write the request while the response is read.
+	var writtenAt atomic.Pointer[time.Time]
+	defer func() {
+		r.endedAt = time.Now()
+		if at := writtenAt.Load(); at != nil {
+			r.writtenAt = *at
+		}
+	}()
 	request, err := stand.NewRequest(r.host.clientAddr, r.path+"x", r.id)
 	if err != nil {
 		r.err = err
 		return
 	}
+	stand.SetDeadline(request, r.deadline)
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { r.reused = info.Reused },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { r.written = info.Err == nil },
+		GotConn: func(info httptrace.GotConnInfo) { r.reused = info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if now := time.Now(); info.Err == nil {
+				writtenAt.Store(&now)
+			}
+		},
 	}
 	response, err := transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
--- a/soak/host.go
+++ b/soak/host.go
@@ -22,6 +22,8 @@
 	log          *os.File
 	clientAddr   string
 	readyAddr    string
+	// shutdownGrace is the time that the process has to shut down.
+	shutdownGrace time.Duration
 	// The host reaches the store through storeProxy; other hosts reach this one through
 	// peerProxy.
 	storeProxy *Proxy
@@ -36,7 +38,7 @@
 
 // newHost writes the settings of a host and starts its proxies.
 func newHost(o Options, index int, storeAddr string, seeds []string) (*host, error) {
-	h := &host{name: fmt.Sprint("entry-", index), binary: o.Binary}
+	h := &host{name: fmt.Sprint("entry-", index), binary: o.Binary, shutdownGrace: o.Kind.surroundings().shutdownGrace}
 	addrs, err := freeAddrs(4)
 	if err != nil {
 		return nil, fmt.Errorf("find free ports: %w", err)
@@ -50,7 +52,7 @@
 	}
 	zone := string(rune('a' + index%2))
 	settings := fmt.Sprintf("[node]\nid = %s\nzone = %s\ngrace = %s\n[listen]\ncallers = %s\nready = %s\npeers = %s\nadvertise = %s\nmetrics = %s\n"+
-		"[platform]\nstore = %s\n", h.name, zone, shutdownGrace, addrs[0], addrs[1], addrs[2], h.peerProxy.Addr(), addrs[3], h.storeProxy.Addr())
+		"[platform]\nstore = %s\n", h.name, zone, h.shutdownGrace, addrs[0], addrs[1], addrs[2], h.peerProxy.Addr(), addrs[3], h.storeProxy.Addr())
 	if len(seeds) > 0 {
 		settings += "[members]\nseeds = " + seeds[0] + "\n"
 	}
@@ -64,9 +66,6 @@
 	return h, nil
 }
 
-// shutdownGrace is the time that a host has to shut down.
-const shutdownGrace = 6 * time.Second
-
 // The ports of hosts are below the operating system's ephemeral ports, so that no
 // connection takes a host's port while the host restarts.
 const (
@@ -162,7 +161,7 @@
 	h.signal(syscall.SIGTERM)
 	select {
 	case <-h.exited:
-	case <-time.After(shutdownGrace + time.Second):
+	case <-time.After(h.shutdownGrace + time.Second):
 		h.signal(syscall.SIGKILL)
 		<-h.exited
 	}
--- /dev/null
+++ b/soak/kind.go
@@ -0,0 +1,72 @@
+package soak
+
+import (
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+// A PlanKind selects the actions of a plan and the surroundings of a run. Seeds that once
+// failed keep their plans when a kind is added.
+type PlanKind string
+
+// The kinds of plans.
+const (
+	// Faults is the zero value.
+	Faults PlanKind = ""
+	// Drills adds drillActions to the faults, and further faults of upstreams.
+	Drills PlanKind = "drills"
+	// Silences has silences of upstreams and planned work, and no faults.
+	Silences PlanKind = "silences"
+)
+
+// surroundings are the parameters of a run that depend on the kind of its plan.
+type surroundings struct {
+	// deadline is the deadline of each request, and shutdownGrace the time that a host has
+	// to shut down.
+	deadline      time.Duration
+	shutdownGrace time.Duration
+	streamEvents  int
+	upstreamKinds []upstreamKind
+}
+
+// An upstreamKind describes the upstreams of one service.
+type upstreamKind struct {
+	service    string
+	workerKind stand.Kind
+	// count is the number of upstreams in each availability zone.
+	count int
+	slots int
+	delay time.Duration
+}
+
+var standardSurroundings = surroundings{
+	deadline: 3 * time.Second, shutdownGrace: 6 * time.Second, streamEvents: 12,
+	upstreamKinds: []upstreamKind{
+		{stand.ServiceDesk, stand.Plain, 2, 6, 20 * time.Millisecond},
+		{stand.ServiceEngine, stand.Engine, 2, 32, 15 * time.Millisecond},
+		{stand.ServiceEncode, stand.Stage, 2, 1, 20 * time.Millisecond},
+		{stand.ServiceRank, stand.Stage, 2, 1, 20 * time.Millisecond},
+	},
+}
+
+// silentSurroundings have long streams, which silences meet midway, and little capacity for
+// stages. The deadline is the timeout of the routes. A host that shuts down has the time
+// for each request that it gets while it still reports ready or its clients do not know.
+var silentSurroundings = surroundings{
+	deadline: 4 * time.Second, shutdownGrace: 8 * time.Second, streamEvents: 100,
+	upstreamKinds: []upstreamKind{
+		{stand.ServiceDesk, stand.Plain, 2, 6, 20 * time.Millisecond},
+		{stand.ServiceEngine, stand.Engine, 2, 32, 15 * time.Millisecond},
+		{stand.ServiceEncode, stand.Stage, 1, 1, 100 * time.Millisecond},
+		{stand.ServiceRank, stand.Stage, 1, 1, 100 * time.Millisecond},
+	},
+}
+
+// surroundings returns the parameters of a run.
+func (k PlanKind) surroundings() surroundings {
+	if k == Silences {
+		return silentSurroundings
+	}
+	return standardSurroundings
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,9 @@
 	// it is leaving.
 	UpstreamHold    Action = "upstream pauses"
 	UpstreamLeaving Action = "upstream says that it leaves"
+	// UpstreamSilence holds all bytes from and to a sound upstream for the step's
+	// duration and then delivers them.
+	UpstreamSilence Action = "upstream is silent"
 	// Publish writes a new version of the configuration.
 	Publish Action = "publish"
 )
@@ -70,6 +73,9 @@
 // drillActions are the additional actions of plans with drills.
 var drillActions = []Action{StoreRestore, StoreRestore, UpstreamHold, UpstreamLeaving}
 
+// plannedActions are the actions of operators, which need no request to fail.
+var plannedActions = []Action{Publish, Publish, Reload, Terminate, UpstreamReplace}
+
 var linkFaults = []Mode{Delay, Reset, HoldRequests, HoldResponses, HoldBoth}
 
 const (
@@ -78,31 +84,53 @@
 	maxSeriesSteps     = 3
 	maxStepDuration    = 2500 * time.Millisecond
 	minStepDuration    = 200 * time.Millisecond
+	// maxSilentUpstreams is the maximum number of silences in a series.
+	maxSilentUpstreams = 6
+	minSilence         = 800 * time.Millisecond
+	maxSilence         = 1600 * time.Millisecond
 )
 
 // NewPlan generates the steps of a run in short series, which may overlap. The result
-// depends on the arguments only. Plans with drills have further actions; the seeds that
-// once failed without them keep their plans.
-func NewPlan(seed uint64, length time.Duration, drills bool) []Step {
+// depends on the arguments only.
+func NewPlan(seed uint64, length time.Duration, kind PlanKind) []Step {
 	random := rand.New(rand.NewPCG(seed, 0))
-	actions := weightedActions
-	if drills {
-		actions = slices.Concat(weightedActions, drillActions)
-	}
+	general := seriesKind{weightedActions, maxSeriesSteps, minStepDuration, maxStepDuration}
 	var plan []Step
+	switch kind {
+	case Drills:
+		general.actions = slices.Concat(weightedActions, drillActions)
+	case Silences:
+		general.actions = plannedActions
+		silences := seriesKind{[]Action{UpstreamSilence}, maxSilentUpstreams, minSilence, maxSilence}
+		plan = silences.steps(random, length)
+	}
+	plan = append(plan, general.steps(random, length)...)
+	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return slices.DeleteFunc(plan, func(s Step) bool { return s.At >= length })
+}
+
+// A seriesKind describes series of steps.
+type seriesKind struct {
+	actions                  []Action
+	maxSteps                 int
+	minDuration, maxDuration time.Duration
+}
+
+// steps generates the series of a run.
+func (k seriesKind) steps(random *rand.Rand, length time.Duration) []Step {
+	var steps []Step
 	for at := meanSeriesInterval; at < length; at += time.Duration(random.ExpFloat64() * float64(meanSeriesInterval)) {
-		action := actions[random.IntN(len(actions))]
-		for i := range 1 + random.IntN(maxSeriesSteps) {
-			plan = append(plan, Step{
+		action := k.actions[random.IntN(len(k.actions))]
+		for i := range 1 + random.IntN(k.maxSteps) {
+			steps = append(steps, Step{
 				At: at + time.Duration(i)*time.Duration(random.IntN(300))*time.Millisecond, Action: action,
-				Target: random.IntN(1 << 16), Duration: minStepDuration + time.Duration(random.Int64N(int64(maxStepDuration-minStepDuration))),
+				Target: random.IntN(1 << 16), Duration: k.minDuration + time.Duration(random.Int64N(int64(k.maxDuration-k.minDuration))),
 				Mode: linkFaults[random.IntN(len(linkFaults))], FaultIndex: random.IntN(1 << 16),
 			})
 			if random.IntN(2) == 0 {
-				action = actions[random.IntN(len(actions))]
+				action = k.actions[random.IntN(len(k.actions))]
 			}
 		}
 	}
-	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return slices.DeleteFunc(plan, func(s Step) bool { return s.At >= length })
+	return steps
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,7 +4,8 @@
 // Faults are signals to the hosts' processes, proxies that delay, reset or hold the
 // connections to the store, to upstreams and between hosts, a store that is unavailable
 // or compacts its history, and upstreams that misbehave or drain. They occur in series and
-// may overlap. All random choices depend on the seed alone; the exact timing depends on
+// may overlap. Plans of the kind Silences have no faults: sound upstreams fall silent for
+// a moment during planned work. All random choices depend on the seed alone; the exact timing depends on
 // the machine.
 package soak
 
@@ -13,7 +14,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +33,8 @@
 	Directory string
 	// Seed determines the faults and the load.
 	Seed uint64
-	// Drills adds restorations of the store, upstreams that ask for a pause or leave
-	// without notice in the store, and further faults of upstreams.
-	Drills bool
+	// Kind selects the actions and the length of streams.
+	Kind PlanKind
 	// Length is the time during which faults start; the run takes about 10 s longer.
 	Length time.Duration
 	Hosts  int
@@ -45,6 +48,9 @@
 	Requests int
 	// Served is the number of requests that succeeded with a complete response.
 	Served int
+	// FailedEarly is the number of requests that got the status 502 or 504 before their
+	// deadlines.
+	FailedEarly int
 	// Violations describe the guarantees that were not kept.
 	Violations []string
 }
@@ -52,7 +58,8 @@
 // A deployment is the system under test and its surroundings: the store, the upstreams,
 // the hosts and the clients.
 type deployment struct {
-	options   Options
+	options Options
+	surroundings
 	store     *stand.Store
 	storeAddr string
 	server    *http.Server
@@ -76,19 +83,23 @@
 	// announced that in the store, or the zero time.
 	leaving       bool
 	drainingSince time.Time
+	// silentUntil is the end of the current or last silence.
+	silentUntil time.Time
 }
 
-// A faultPeriod is the time between the start and the end of a fault. host is the step's
-// target among the hosts, also for an action that does not affect hosts.
+// A faultPeriod is the time between the start and the end of a fault. host and upstream are
+// the step's targets among the hosts and upstreams, also for an action that affects only
+// one of the two or neither.
 type faultPeriod struct {
 	action   Action
 	host     *host
+	upstream *upstream
 	from, to time.Time
 }
 
 // Run runs the plan of one seed and checks the guarantees.
 func Run(o Options) (Report, error) {
-	d := &deployment{options: o, store: &stand.Store{}}
+	d := &deployment{options: o, surroundings: o.Kind.surroundings(), store: &stand.Store{}}
 	defer d.close()
 	if err := d.start(); err != nil {
 		return Report{}, fmt.Errorf("start the deployment: %w", err)
@@ -99,7 +110,7 @@
 	for i := range o.Clients {
 		clients.Go(func() { d.clients.runClient(ctx, o.Seed<<8+uint64(i)) })
 	}
-	plan := NewPlan(o.Seed, o.Length, o.Drills)
+	plan := NewPlan(o.Seed, o.Length, o.Kind)
 	d.runPlan(plan)
 	d.mu.Lock()
 	runErr := d.runErr
@@ -115,6 +126,9 @@
 		h.stop()
 	}
 	violations = append(violations, d.check()...)
+	if err := d.writeSteps(); err != nil {
+		return Report{}, err
+	}
 	return d.report(len(plan), violations), nil
 }
 
@@ -128,10 +142,25 @@
 		if rec.err == nil && rec.status == http.StatusOK {
 			r.Served++
 		}
+		if rec.failedEarly() {
+			r.FailedEarly++
+		}
 	}
 	return r
 }
 
+// writeSteps writes the times of the steps to a file beside the logs of the hosts.
+func (d *deployment) writeSteps() error {
+	var steps strings.Builder
+	for _, f := range d.faults {
+		fmt.Fprintf(&steps, "%s %s %q host %s upstream %s\n", f.from.Format(clockFormat), f.to.Format(clockFormat), f.action, f.host.name, f.upstream.worker.ID)
+	}
+	if err := os.WriteFile(filepath.Join(d.options.Directory, "steps.log"), []byte(steps.String()), 0o600); err != nil {
+		return fmt.Errorf("write steps: %w", err)
+	}
+	return nil
+}
+
 // start starts the store, the upstreams and the hosts.
 func (d *deployment) start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -141,10 +170,10 @@
 	d.storeAddr = l.Addr().String()
 	d.server = &http.Server{Handler: d.store}
 	go func() { _ = d.server.Serve(l) }() // Serve returns when the deployment is closed.
-	d.clients = &clientPool{}
+	d.clients = &clientPool{deadline: d.deadline}
 	d.publish()
 	for _, zone := range []string{"a", "b"} {
-		for _, kind := range upstreamKinds {
+		for _, kind := range d.upstreamKinds {
 			for i := range kind.count {
 				if err := d.addUpstream(kind, fmt.Sprintf("%s-%s-%d", kind.service, zone, i), zone); err != nil {
 					return err
@@ -186,29 +215,9 @@
 // and write its first log line after each start.
 const startTimeout = 10 * time.Second
 
-// An upstreamKind describes the upstreams of one service.
-type upstreamKind struct {
-	service    string
-	workerKind stand.Kind
-	// count is the number of upstreams in each availability zone.
-	count int
-	slots int
-	delay time.Duration
-}
-
-var upstreamKinds = []upstreamKind{
-	{stand.ServiceDesk, stand.Plain, 2, 6, 20 * time.Millisecond},
-	{stand.ServiceEngine, stand.Engine, 2, 32, 15 * time.Millisecond},
-	{stand.ServiceEncode, stand.Stage, 2, 1, 20 * time.Millisecond},
-	{stand.ServiceRank, stand.Stage, 2, 1, 20 * time.Millisecond},
-}
-
-// streamEvents is the number of events of a stream.
-const streamEvents = 12
-
 func (d *deployment) addUpstream(k upstreamKind, id, zone string) error {
 	u := &upstream{worker: &stand.Worker{
-		ID: id, Service: k.service, Zone: zone, Kind: k.workerKind, Slots: k.slots, Events: streamEvents, Delay: k.delay,
+		ID: id, Service: k.service, Zone: zone, Kind: k.workerKind, Slots: k.slots, Events: d.streamEvents, Delay: k.delay,
 	}}
 	u.worker.Advertise = func(addr string) (string, error) {
 		var err error
@@ -255,11 +264,11 @@
 }
 
 func (d *deployment) performStep(s Step) {
-	h := d.hosts[s.Target%len(d.hosts)]
-	d.mu.Lock()
-	u := d.upstreams[s.Target%len(d.upstreams)]
-	d.mu.Unlock()
-	defer d.recordFault(s.Action, h, time.Now())
+	h, u := d.hosts[s.Target%len(d.hosts)], d.targetUpstream(s)
+	if u == nil {
+		return
+	}
+	defer d.recordFault(faultPeriod{action: s.Action, host: h, upstream: u, from: time.Now()})
 	switch s.Action {
 	case Pause:
 		h.pause(s.Duration)
@@ -296,18 +305,45 @@
 		u.worker.Hold(s.Duration)
 		time.Sleep(s.Duration)
 		u.worker.Hold(0)
+	case UpstreamSilence:
+		u.proxy.Set(HoldBoth)
+		time.Sleep(s.Duration)
+		u.proxy.Set(Pass)
 	case Publish:
 		d.publish()
 	}
 }
 
+// minSilenceGap is the time that an upstream has between two silences.
+const minSilenceGap = time.Second
+
+// targetUpstream returns the upstream that a step selects. A silence affects the next one
+// that was not silent lately, so that no silence is longer than its step; the result is nil
+// if there is none.
+func (d *deployment) targetUpstream(s Step) *upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.Action != UpstreamSilence {
+		return d.upstreams[s.Target%len(d.upstreams)]
+	}
+	now := time.Now()
+	for i := range d.upstreams {
+		u := d.upstreams[(s.Target+i)%len(d.upstreams)]
+		if now.After(u.silentUntil.Add(minSilenceGap)) {
+			u.silentUntil = now.Add(s.Duration)
+			return u
+		}
+	}
+	return nil
+}
+
 var injectedFaults = []stand.Fault{stand.FaultRefuse, stand.FaultDropConnection, stand.FaultServerError, stand.FaultWrongID, stand.FaultTruncateStream, stand.FaultExtraResponse}
 
 // drillFaults are the additional faults of upstreams in runs with drills.
 var drillFaults = []stand.Fault{stand.FaultNoSeal, stand.FaultTruncateBody, stand.FaultLateCopy, stand.FaultStallStream}
 
 func (o Options) faults() []stand.Fault {
-	if o.Drills {
+	if o.Kind == Drills {
 		return slices.Concat(injectedFaults, drillFaults)
 	}
 	return injectedFaults
@@ -346,7 +382,7 @@
 	if leaving {
 		return nil
 	}
-	for _, k := range upstreamKinds {
+	for _, k := range d.upstreamKinds {
 		if k.service == u.worker.Service {
 			if err := d.addUpstream(k, fmt.Sprint(k.service, "-", index), u.worker.Zone); err != nil {
 				return err
@@ -364,11 +400,12 @@
 	u.worker.Drain()
 }
 
-// recordFault records a fault that started at the given time and ends now.
-func (d *deployment) recordFault(action Action, h *host, from time.Time) {
+// recordFault records a fault that ends now.
+func (d *deployment) recordFault(f faultPeriod) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.faults = append(d.faults, faultPeriod{action: action, host: h, from: from, to: time.Now()})
+	f.to = time.Now()
+	d.faults = append(d.faults, f)
 }
 
 func (d *deployment) setRunErr(err error) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -18,11 +19,11 @@
 var regressions = []struct {
 	seed   uint64
 	length time.Duration
-	drills bool
+	kind   PlanKind
 	cause  string
 }{
-	{10, 14 * time.Second, false, "SIGHUP right after the start killed the process; two concurrent updates left the owner without workers"},
-	{12, 14 * time.Second, false, "SIGHUP right after the start killed the process"},
+	{10, 14 * time.Second, Faults, "SIGHUP right after the start killed the process; two concurrent updates left the owner without workers"},
+	{12, 14 * time.Second, Faults, "SIGHUP right after the start killed the process"},
 }
 
 // Environment variables for the number of seeds, the first seed and the length of each
@@ -34,33 +35,53 @@
 )
 
 func TestSoak(t *testing.T) {
+	binary := buildBinary(t)
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("%d: %s", r.seed, r.cause), func(t *testing.T) {
+			runSeed(t, Options{Binary: binary, Seed: r.seed, Length: r.length, Kind: r.kind, Clients: 8})
+		})
+	}
+	runSeeds(t, Options{Binary: binary, Length: 6 * time.Second, Kind: Drills, Clients: 8})
+}
+
+// A sound upstream that was silent for a moment made hosts cut streams and fail requests.
+func TestSoakSilences(t *testing.T) {
+	runSeeds(t, Options{Binary: buildBinary(t), Length: 4 * time.Second, Kind: Silences, Clients: 24})
+}
+
+func buildBinary(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "teaselplank")
 	if out, err := exec.Command("go", "build", "-o", binary, "teaselplank/cmd/teaselplank").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, r := range regressions {
-		t.Run(fmt.Sprintf("%d: %s", r.seed, r.cause), func(t *testing.T) { runSeed(t, binary, r.seed, r.length, r.drills) })
-	}
-	length := time.Duration(envInt(t, lengthVariable, 6)) * time.Second
+	return binary
+}
+
+// runSeeds runs the seeds that the environment selects, or one.
+func runSeeds(t *testing.T, o Options) {
+	o.Length = time.Duration(envInt(t, lengthVariable, int(o.Length/time.Second))) * time.Second
 	for i := range envInt(t, seedsVariable, 1) {
-		seed := uint64(envInt(t, firstVariable, 1) + i)
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+		seeded := o
+		seeded.Seed = uint64(envInt(t, firstVariable, 1) + i)
+		t.Run(strconv.FormatUint(seeded.Seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, length, true)
+			runSeed(t, seeded)
 		})
 	}
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, length time.Duration, drills bool) {
-	directory, err := os.MkdirTemp("", "soak-")
+func runSeed(t *testing.T, o Options) {
+	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", o.Seed))
 	if err != nil {
 		t.Fatal(err)
 	}
-	report, err := Run(Options{Binary: binary, Directory: directory, Seed: seed, Length: length, Drills: drills, Hosts: 3, Clients: 8})
+	o.Directory, o.Hosts = directory, 3
+	report, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d steps, %d requests, %d served", report.Steps, report.Requests, report.Served)
+	t.Logf("%d steps, %d requests, %d served, %d with 502 or 504 before their deadlines", report.Steps, report.Requests, report.Served, report.FailedEarly)
 	if len(report.Violations) == 0 && report.Served > 0 {
 		os.RemoveAll(directory)
 		return
@@ -84,11 +105,11 @@
 }
 
 func TestPlan(t *testing.T) {
-	a, b := NewPlan(7, 20*time.Second, true), NewPlan(7, 20*time.Second, true)
+	a, b := NewPlan(7, 20*time.Second, Drills), NewPlan(7, 20*time.Second, Drills)
 	if len(a) < 10 || !reflect.DeepEqual(a, b) {
 		t.Errorf("plans of one seed have %d and %d steps, want the same 10 or more", len(a), len(b))
 	}
-	if reflect.DeepEqual(a, NewPlan(8, 20*time.Second, true)) {
+	if reflect.DeepEqual(a, NewPlan(8, 20*time.Second, Drills)) {
 		t.Error("plans of two seeds are the same")
 	}
 	for _, s := range a {
@@ -98,6 +119,52 @@
 	}
 }
 
+func TestPlanOfSilences(t *testing.T) {
+	counts := make(map[Action]int)
+	for _, s := range NewPlan(7, 60*time.Second, Silences) {
+		counts[s.Action]++
+		if s.Action != UpstreamSilence && !slices.Contains(plannedActions, s.Action) {
+			t.Errorf("step %+v is neither a silence nor planned", s)
+		}
+		if s.Action == UpstreamSilence && (s.Duration < minSilence || s.Duration > maxSilence) {
+			t.Errorf("silence lasts %s", s.Duration)
+		}
+	}
+	for _, a := range append(plannedActions, UpstreamSilence) {
+		if counts[a] == 0 {
+			t.Errorf("no step has the action %q", a)
+		}
+	}
+}
+
+func TestCheckComplete(t *testing.T) {
+	h, other := &host{name: "a"}, &host{name: "b"}
+	start := time.Now()
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	d := &deployment{faults: []faultPeriod{{action: Terminate, host: h, from: start, to: after(time.Second)}}}
+	tests := []struct {
+		name   string
+		record record
+		ok     bool
+	}{
+		{"complete", record{host: h, writtenAt: start, endedAt: after(time.Second)}, true},
+		{"not written", record{host: h, err: io.EOF, endedAt: after(time.Second)}, true},
+		{"broken off", record{host: h, err: io.EOF, writtenAt: start, endedAt: after(time.Second)}, false},
+		{"at the deadline", record{host: h, err: io.EOF, writtenAt: start, endedAt: after(3 * time.Second)}, true},
+		{"crosses the close", record{host: h, err: io.EOF, writtenAt: start, endedAt: after(crossingTime)}, true},
+		{"crosses no close", record{host: other, err: io.EOF, writtenAt: start, endedAt: after(crossingTime)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := test.record
+			r.sentAt, r.deadline = start, 3*time.Second
+			if problem := d.checkComplete(&r); (problem == "") != test.ok {
+				t.Errorf("the check finds %q", problem)
+			}
+		})
+	}
+}
+
 // startEchoServer starts a server that echoes the bytes of each connection, and returns
 // its address.
 func startEchoServer(t *testing.T) string {
@@ -151,6 +218,24 @@
 	}
 }
 
+// A connection that is opened while bytes are held must work once they are forwarded.
+func TestProxyHoldsNewConnections(t *testing.T) {
+	p, err := NewProxy(startEchoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	p.Set(HoldBoth)
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	wantEcho(t, c, 50*time.Millisecond, "")
+	p.Set(Pass)
+	wantRead(t, c, time.Second, "x")
+}
+
 func wantEcho(t *testing.T, c net.Conn, timeout time.Duration, want string) {
 	t.Helper()
 	// If the connection was reset, the read below fails.
