--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,8 +5,8 @@
 // connections to the store, to upstreams and between hosts, a store that is unavailable
 // or compacts its history, and upstreams that misbehave or drain. They occur in series and
 // may overlap. Plans of the kind Silences have no faults: sound upstreams fall silent for
-// a moment during planned work. All random choices depend on the seed alone; the exact timing depends on
-// the machine.
+// a moment during planned work. All random choices depend on the seed alone; the exact
+// timing depends on the machine.
 package soak
 
 import (
@@ -33,9 +33,9 @@
 	Directory string
 	// Seed determines the faults and the load.
 	Seed uint64
-	// Kind selects the actions and the length of streams.
+	// Kind selects the actions of the plan and the surroundings.
 	Kind PlanKind
-	// Length is the time during which faults start; the run takes about 10 s longer.
+	// Length is the time during which faults start; the run takes 10 to 25 s longer.
 	Length time.Duration
 	Hosts  int
 	// Clients is the number of clients; each sends one request after the other.
