Count a cancelled attempt as one that an upstream may have executed

A stream whose upstream was silent twice could run on three upstreams where its route allows two: the attempt made beside it and cancelled was forgotten (found by reading the diff anew). The new case of TestStalledAttempts failed before.

--- a/proxy/stall.go
+++ b/proxy/stall.go
@@ -54,11 +54,13 @@
 	}
 }
 
-// cancel ends an attempt, which may be nil, without waiting for its response.
+// cancel ends an attempt, which may be nil, without waiting for its response. The upstream
+// may have executed it.
 func (n *Node) cancel(r *request, a *attempt) {
 	if a == nil {
 		return
 	}
+	r.setExecuted(a, true)
 	n.emit(Cancel{Number: r.Number, Attempt: a.number})
 	n.endAttempt(r, a)
 }
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -74,6 +74,17 @@
 		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
 		h.wantIdle()
 	})
+	t.Run("cancelled attempts count", func(t *testing.T) {
+		h := newHarness(t)
+		h.arrive("/stream/1")
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		h.stall(1, "4")
+		find[Send](h)
+		h.step(AttemptContinued{Number: h.number, Attempt: 1})
+		h.stall(1, "5")
+		h.wantNone("two upstreams may have executed it", isSend)
+	})
 	t.Run("other attempt goes on first", func(t *testing.T) {
 		h := newHarness(t)
 		h.streamTo("4")
