Run the stages again before any request that lacks their results is sent

A safe request with stages could be sent without its inputs: its first upstream was silent, the second one had lost a result, and the stages that ran again were refused. Only streams were checked for missing results. The configuration does not rule out such routes; no user's site has one.

TestSentWithoutResults failed before and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"teaselplank/fleet"
 	"teaselplank/picker"
 	"teaselplank/trace"
 )
@@ -286,7 +285,7 @@
 		n.counts.Resumed++
 	}
 	n.record(r, trace.Retried, "", append(r.origin.attrs(now), "cause", cause, "attempt", r.attempts, "last_event", r.lastEventID)...)
-	if r.route.Kind == fleet.Stream && r.lacksResults() {
+	if r.lacksResults() {
 		n.restart(now, r)
 		return
 	}
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -9,6 +9,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/budget"
+	"teaselplank/fleet"
 )
 
 // streamTo lets a stream reach its first event at attempt 1, after both stages.
@@ -357,3 +358,23 @@
 	h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
 	h.wantIdle()
 }
+
+// A request must not be sent without the results that its upstream needs, whatever its kind.
+func TestSentWithoutResults(t *testing.T) {
+	h := newHarness(t)
+	c := testConfig()
+	c.Version, c.Routes[0].Stages = 2, c.Routes[2].Stages
+	h.step(Configured{Table: fleet.NewTable(c)})
+	h.arrive("/safe/1", 1, 1)
+	h.stageDone(0, "a", "h1")
+	h.stageDone(1, "a", "h2")
+	h.stall(1, "")
+	h.respond(2, http.StatusConflict, true)
+	h.step(StageFailed{Number: h.number, Stage: 0, Reason: batch.ReasonLate})
+	h.attemptFailed(1, Unreachable, "")
+	for _, e := range h.effects {
+		if s, ok := e.(Send); ok && len(s.Inputs) == 0 {
+			t.Error("request is sent without inputs")
+		}
+	}
+}
