Make lost results again also after a silence

After an upstream's silence had made the stages run again, a result that was lost later ended the request: both counted towards the one restart. Restarts for lost results are now counted by themselves.

TestLostResultAfterSilence failed before and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -252,10 +252,11 @@
 
 // resultLost runs the stages again after a result that an upstream needs was lost.
 func (n *Node) resultLost(now time.Time, r *request) {
-	if r.restarts >= maxRestarts {
+	if r.losses >= maxLosses {
 		n.fail(now, r, ReasonStageFailed, busyRetryAfter)
 		return
 	}
+	r.losses++
 	r.tried = nil
 	if r.stalled != nil {
 		r.tried = []string{r.stalled.upstream.ID}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -60,8 +60,10 @@
 	// stages run there if possible.
 	homeZone string
 	dataZone string
-	// restarts is the number of times that the stages were run again.
+	// restarts is the number of times that the stages were run again, and losses the
+	// number of those because a result was lost.
 	restarts int
+	losses   int
 	// attempts is the number of attempts made, and executions the number of those that an
 	// upstream may have executed.
 	attempts   int
--- a/proxy/stages.go
+++ b/proxy/stages.go
@@ -153,15 +153,17 @@
 	}
 }
 
-// maxRestarts bounds how many times the stages of a request are run again.
-const maxRestarts = 1
+// maxLosses bounds how many times the stages of a request are run again because a result
+// was lost.
+const maxLosses = 1
 
 func (n *Node) stageFailed(now time.Time, e StageFailed) {
 	r := n.requests[e.Number]
 	if r == nil || r.status != statusStaging || r.stages[e.Stage].done {
 		return
 	}
-	if e.Reason == batch.ReasonInputLost && r.restarts < maxRestarts {
+	if e.Reason == batch.ReasonInputLost && r.losses < maxLosses {
+		r.losses++
 		n.restart(now, r)
 		return
 	}
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -378,3 +378,11 @@
 		}
 	}
 }
+
+// A silence must not use up the one time that lost results are made again.
+func TestLostResultAfterSilence(t *testing.T) {
+	h := newHarness(t)
+	h.streamTo("4")
+	h.step(StageFailed{Number: h.number, Stage: 0, Reason: batch.ReasonInputLost})
+	find[RunStage](h)
+}
