Bound plain answers exactly

An answer of up to 64 KiB more than the bound passed, and one of exactly 64 KiB was refused as too long while long ones used up the memory for bodies, since a chunk was taken only to see the end. A chunk is now taken for bytes that were read. The new cases of TestBodies and TestShortBodyBesideLongOnes failed before.

--- a/relay/body.go
+++ b/relay/body.go
@@ -55,14 +55,14 @@
 func (b *body) readFrom(r io.Reader) error {
 	for {
 		chunk, err := io.ReadAll(io.LimitReader(r, bodyChunkSize))
-		b.chunks = append(b.chunks, chunk)
-		b.size += len(chunk)
-		if err != nil || len(chunk) < bodyChunkSize {
+		if err != nil || len(chunk) == 0 {
 			return err
 		}
-		if b.size > maxAnswerBytes || !b.pool.acquire() {
+		if b.size+len(chunk) > maxAnswerBytes || len(b.chunks) > 0 && !b.pool.acquire() {
 			return errResponseTooLong
 		}
+		b.chunks = append(b.chunks, chunk)
+		b.size += len(chunk)
 	}
 }
 
--- a/relay/body_test.go
+++ b/relay/body_test.go
@@ -22,6 +22,7 @@
 		{"short", strings.NewReader(of(800)), 800, nil},
 		{"one chunk", strings.NewReader(of(bodyChunkSize)), bodyChunkSize, nil},
 		{"as long as allowed", strings.NewReader(of(maxAnswerBytes)), maxAnswerBytes, nil},
+		{"a byte too long", strings.NewReader(of(maxAnswerBytes + 1)), 0, errResponseTooLong},
 		{"without end", newEndlessReader("x"), 0, errResponseTooLong},
 		{"truncated", io.MultiReader(strings.NewReader(of(bodyChunkSize+1)), iotest.ErrReader(io.ErrUnexpectedEOF)), 0, io.ErrUnexpectedEOF},
 		{"reset", io.MultiReader(strings.NewReader("x"), iotest.ErrReader(errReset)), 0, errReset},
@@ -62,6 +63,11 @@
 		t.Fatal(err)
 	}
 	wantBody(t, b, "short")
+	oneChunk := strings.Repeat("x", bodyChunkSize)
+	if b, err = pool.read(strings.NewReader(oneChunk)); err != nil {
+		t.Fatal(err)
+	}
+	wantBody(t, b, oneChunk)
 	if _, err := pool.read(strings.NewReader(strings.Repeat("x", 2*bodyChunkSize))); !errors.Is(err, errResponseTooLong) {
 		t.Errorf("error of a long body is %v, want %v", err, errResponseTooLong)
 	}
