Do not take an old view for the only version of a service

If the records of streams cannot be read, only a view of the last 3 s decides.

The new case of TestResumedByClient (an old view) fails without the check.

--- a/proxy/event.go
+++ b/proxy/event.go
@@ -55,6 +55,8 @@
 		// the service that recent records name.
 		Complete bool
 		Versions []string
+		// ViewAge is the time since the node last read the upstreams.
+		ViewAge time.Duration
 	}
 	// StageDone reports the results of a stage.
 	StageDone struct {
--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -26,11 +26,16 @@
 	n.emit(FindOrigin{Number: r.Number, ID: r.Resumes, Service: r.service})
 }
 
+// maxViewAge is the age from which the node's view of the upstreams may lack a version that
+// others have begun streams at.
+const maxViewAge = 3 * time.Second
+
 // onlyVersion returns the version of a service if the streams that clients may still
 // resume can have begun at no other. What was gone before the node's start, it knows only
 // from the records of all nodes.
 func (n *Node) onlyVersion(now time.Time, service string, found OriginFound) (string, bool) {
-	if n.versions.Watched(now) < origin.Window && !found.Complete {
+	ownView := n.versions.Watched(now) >= origin.Window && found.ViewAge <= maxViewAge
+	if !ownView && !found.Complete {
 		return "", false
 	}
 	versions := n.versionsOf(now, service, found)
@@ -65,7 +70,8 @@
 	}
 	n.recordSince(now, r.arrived, r, trace.StreamResumed, ReasonUnknownOrigin, "first", r.Resumes, "last_event", r.LastEventID,
 		"service", r.service, "recorded_service", e.Record.Service, "versions", strings.Join(n.versionsOf(now, r.service, e), " "),
-		"records_read", e.Complete, "watched_ms", n.versions.Watched(now).Milliseconds())
+		"records_read", e.Complete, "watched_ms", n.versions.Watched(now).Milliseconds(),
+		"view_age_ms", e.ViewAge.Milliseconds())
 	n.reply(now, r, http.StatusServiceUnavailable, ReasonUnknownOrigin, upstreamRetryAfter)
 }
 
--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -49,6 +49,20 @@
 // Guards against a client's resumed stream that goes on at a version that did not begin
 // it, and against refusing one that can go on.
 func TestResumedByClient(t *testing.T) {
+	t.Run("only version of a host that cannot read", func(t *testing.T) {
+		h := newHarness(t)
+		h.watch("v1")
+		h.resume()
+		h.step(OriginFound{Number: h.number, ViewAge: time.Second})
+		h.wantSent("v1")
+	})
+	t.Run("only version of a host that has read nothing for some time", func(t *testing.T) {
+		h := newHarness(t)
+		h.watch("v1")
+		h.resume()
+		h.step(OriginFound{Number: h.number, ViewAge: 2 * maxViewAge})
+		h.wantRefused(ReasonUnknownOrigin)
+	})
 	t.Run("known version", func(t *testing.T) {
 		h := newHarness(t)
 		h.watch("v1", "v2", "v3")
--- a/relay/lookup.go
+++ b/relay/lookup.go
@@ -48,6 +48,7 @@
 	if err := o.readNow(ctx); err != nil {
 		o.server.metrics.countLookup(lookupFailed)
 		o.server.logger.Warn("versions of streams are not read", "error", err.Error())
+		found.ViewAge = o.server.upstreamsAge()
 		return found
 	}
 	found, ok = o.recordOf(e, &o.shared, proxy.OriginShared)
--- a/relay/store.go
+++ b/relay/store.go
@@ -210,6 +210,13 @@
 	}
 }
 
+// upstreamsAge returns the time since the upstreams were last read from the store.
+func (s *Server) upstreamsAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now().Sub(s.streamState(infra.StreamUpstreams).lastRead)
+}
+
 // cancelRead cancels the latest read for changes, so that a new one starts. The lock must
 // be held.
 func (s *streamState) cancelRead() {
