Name what stalls and what counts as a retry as they are

From a newcomer's reading: StallAfter in place of HeaderTimeout, which ended nothing any more; retries are counted when they are sent, not when one may be needed; a silence reported before the head ends with it; comments on records of streams, keep-alive and the state of a request say what the code does.

--- a/batch/outcome.go
+++ b/batch/outcome.go
@@ -35,7 +35,8 @@
 // markZoneSuspect marks the workers of a zone without a recent response as suspect,
 // since a network partition makes all of them unreachable at once. It spares services
 // that would be left without a worker: their zone may be reachable, and only one of its
-// workers silent.
+// workers silent. (Package proxy marks all and falls back to them, since a request can
+// wait for a connection, while calls here are planned ahead.)
 func (s *Scheduler) markZoneSuspect(now time.Time, zone string) {
 	for _, p := range s.pools {
 		var suspects []*worker
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -24,7 +24,7 @@
 	Service string
 	Version string
 	// Attempt is the number of upstreams that the client's attempt was sent to so far.
-	// The record with the highest number holds.
+	// The record with the highest number counts, and of equal ones the last.
 	Attempt int
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,9 +15,9 @@
 	// basePriority and maxPriority bound the priority class of requests to engines.
 	basePriority = 3
 	maxPriority  = 9
-	// headerTimeoutShare is the share of the remaining time in which an attempt must
-	// start its response while the request can still be retried.
-	headerTimeoutShare = 0.45
+	// stallShare is the share of the remaining time after which an attempt without a
+	// head is reported as stalled, while the request can still be retried.
+	stallShare = 0.45
 	// minTimeLeft is the minimum time before the deadline at which a request is still
 	// sent.
 	minTimeLeft = 20 * time.Millisecond
@@ -107,6 +107,8 @@
 	}
 	if r.attempts == 0 {
 		p.retryBudget.AddRequest(n.config.Budget, now)
+	} else {
+		n.countRetry(r)
 	}
 	u := p.byID[chosen.ID]
 	r.attempts++
@@ -121,6 +123,13 @@
 	n.emit(n.sendEffect(now, r))
 }
 
+func (n *Node) countRetry(r *request) {
+	n.counts.Repeated++
+	if r.lastEventID != "" {
+		n.counts.Resumed++
+	}
+}
+
 // endLate ends a request that is too late to be sent, unless a stalled attempt may still
 // have a response.
 func (n *Node) endLate(now time.Time, r *request) {
@@ -157,7 +166,7 @@
 		}
 	}
 	if r.route.Retryable() && r.executions+1 < r.route.Attempts {
-		s.HeaderTimeout = time.Duration(headerTimeoutShare * float64(r.deadline.Sub(now)))
+		s.StallAfter = time.Duration(stallShare * float64(r.deadline.Sub(now)))
 	}
 	return s
 }
@@ -281,10 +290,6 @@
 }
 
 func (n *Node) retry(now time.Time, r *request, cause string) {
-	n.counts.Repeated++
-	if r.lastEventID != "" {
-		n.counts.Resumed++
-	}
 	n.record(r, trace.Retried, "", append(r.origin.attrs(now), "cause", cause, "attempt", r.attempts, "last_event", r.lastEventID)...)
 	if r.lacksResults() {
 		n.restart(now, r)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -201,7 +201,8 @@
 	// ResponseMismatch means that the response belongs to another request or is not
 	// valid.
 	ResponseMismatch Failure = "crossed"
-	// ResponseTimeout means that the upstream sent nothing for longer than usual.
+	// ResponseTimeout means that the connection timed out after the request was sent: the
+	// upstream's host could not be heard.
 	ResponseTimeout Failure = "silent"
 	// ResponseTooLong means that the response exceeded a bound, as one without end does.
 	ResponseTooLong Failure = "overlong"
@@ -239,9 +240,9 @@
 		LastEventID string
 		// Deadline is the time after which the response is of no use.
 		Deadline time.Time
-		// HeaderTimeout is how long the head of the response may take before
-		// AttemptStalled is to be reported; 0 means as long as it likes.
-		HeaderTimeout time.Duration
+		// StallAfter is how long the head of the response may take before AttemptStalled
+		// is to be reported; 0 means as long as it likes.
+		StallAfter time.Duration
 	}
 	// Deliver requests that the response of an attempt be forwarded to the client.
 	Deliver struct {
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -54,7 +54,8 @@
 		return
 	}
 	if a.number < r.attempts {
-		// The record of a later attempt holds until now.
+		// The last record names a later attempt's version. Of records with the same
+		// number of attempts, the last one counts.
 		n.recordOrigin(now, r, a)
 	}
 	r.origin = streamOrigin{version: a.upstream.Version, source: OriginAnswer, learned: now}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -11,7 +11,8 @@
 	"teaselplank/trace"
 )
 
-// status is the state of a request.
+// status is the state of a request, as far as its newest attempt goes: a stalled attempt
+// may be responding while the stages run again.
 type status string
 
 const (
--- a/proxy/stall_test.go
+++ b/proxy/stall_test.go
@@ -12,8 +12,8 @@
 	"teaselplank/fleet"
 )
 
-// streamTo lets a stream reach its first event at attempt 1, after both stages.
-func (h *harness) streamTo(lastEventID string) {
+// streamThatStalls lets a stream stall at attempt 1 after the given event.
+func (h *harness) streamThatStalls(lastEventID string) {
 	h.arrive("/stream/1", 1, 1)
 	h.stageDone(0, "a", "h1")
 	h.stageDone(1, "a", "h2")
@@ -51,7 +51,7 @@
 func TestStalledAttempts(t *testing.T) {
 	t.Run("goes on while the stages run", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		find[RunStage](h)
 		h.step(AttemptContinued{Number: h.number, Attempt: 1})
 		find[Withdraw](h)
@@ -60,7 +60,7 @@
 	})
 	t.Run("goes on before the other attempt", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.stageDone(0, "a", "h3")
 		h.stageDone(1, "a", "h4")
 		if s := find[Send](h); s.LastEventID != "4" {
@@ -88,7 +88,7 @@
 	})
 	t.Run("other attempt goes on first", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.stageDone(0, "a", "h3")
 		h.stageDone(1, "a", "h4")
 		h.respond(2, http.StatusOK, false)
@@ -102,7 +102,7 @@
 	})
 	t.Run("stage is refused", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.step(StageFailed{Number: h.number, Stage: 0, Reason: batch.ReasonLate})
 		h.wantNone("the stalled attempt may go on", isEnd)
 		h.attemptFailed(1, ConnectionFailed, "4")
@@ -113,7 +113,7 @@
 	})
 	t.Run("fails while the stages run", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.attemptFailed(1, ConnectionFailed, "4")
 		h.wantNone("another attempt is being made", isEnd)
 		h.stageDone(0, "a", "h3")
@@ -125,7 +125,7 @@
 	})
 	t.Run("deadline passes", func(t *testing.T) {
 		h := newHarness(t)
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.step(TimedOut{Number: h.number, ResponseStarted: true})
 		find[Abort](h)
 		h.wantIdle()
@@ -182,7 +182,7 @@
 	t.Run("stream without a budget", func(t *testing.T) {
 		h := newHarness(t)
 		h.node.config.Budget = budget.Config{Window: time.Second}
-		h.streamTo("4")
+		h.streamThatStalls("4")
 		h.wantNone("the budget is used up", func(e Effect) bool { _, ok := e.(RunStage); return ok })
 	})
 	t.Run("attempts are used up", func(t *testing.T) {
@@ -338,7 +338,7 @@
 func TestBudgetLostToSilences(t *testing.T) {
 	h := newHarness(t)
 	for range 30 {
-		h.streamTo("1")
+		h.streamThatStalls("1")
 		h.step(AttemptContinued{Number: h.number, Attempt: 1})
 		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
 	}
@@ -350,7 +350,7 @@
 // A request that is too late for another attempt must not lose the one that is open.
 func TestStalledAttemptLostNearDeadline(t *testing.T) {
 	h := newHarness(t)
-	h.streamTo("4")
+	h.streamThatStalls("4")
 	h.stageDone(0, "a", "h3")
 	h.now = h.now.Add(6*time.Second - minTimeLeft/2)
 	h.stageDone(1, "a", "h4")
@@ -382,7 +382,7 @@
 // A silence must not use up the one time that lost results are made again.
 func TestLostResultAfterSilence(t *testing.T) {
 	h := newHarness(t)
-	h.streamTo("4")
+	h.streamThatStalls("4")
 	h.step(StageFailed{Number: h.number, Stage: 0, Reason: batch.ReasonInputLost})
 	find[RunStage](h)
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithCancel(x.context)
 	t := &attempt{exchange: x, send: e, cancel: cancel}
 	x.attempts[e.Attempt] = t
-	t.silence.start(e.HeaderTimeout, func() { x.post(func() { x.checkSilence(t) }) })
+	t.silence.start(e.StallAfter, func() { x.post(func() { x.checkSilence(t) }) })
 	go t.run(ctx)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,7 +28,8 @@
 	// connection was closed already.
 	stopClosing func() bool
 
-	// Only the exchange's goroutine uses the fields below.
+	// Only the exchange's goroutine uses the fields below, but for delivers, which the
+	// attempt reads after a call to the exchange has set it.
 	silence silenceTimer
 	// delivers is true once the answer is to be passed on, and started once its first
 	// event was.
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -53,8 +53,8 @@
 	maxIdleConns = 32
 )
 
-// keepAlive is the probing of connections to upstreams. An interruption may begin just
-// before a probe, so only the intervals between the probes count as tolerated.
+// keepAlive is the probing of connections to upstreams. A silence that begins just before
+// the first of four probes, a second apart, is tolerated for 3 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 4}
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -90,7 +90,7 @@
 // test runs do not take each other's ports.
 func loopbackIP() string {
 	id := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+id>>16&63, id>>8&255, id&255)
+	return fmt.Sprintf("127.%d.%d.%d", 64+(id>>16)&63, id>>8&255, id&255)
 }
 
 // freeAddress returns a loopback address on which no process listens. It tries each port
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -17,13 +17,16 @@
 // start begins to measure. Whenever the limit has passed in silence, the function is
 // called in a goroutine of its own; it must arrange a call of expired.
 func (s *silenceTimer) start(limit time.Duration, f func()) {
-	s.timer = time.AfterFunc(time.Hour, f)
+	s.timer = time.AfterFunc(untilArmed, f)
 	s.restart(limit)
 }
 
-// restart begins to measure with another limit.
+// untilArmed is longer than it takes to arm a new timer.
+const untilArmed = time.Hour
+
+// restart begins to measure anew, with another limit.
 func (s *silenceTimer) restart(limit time.Duration) {
-	s.limit, s.since = limit, time.Now()
+	s.limit, s.since, s.reported = limit, time.Now(), false
 	s.arm()
 }
 
