--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -11,9 +11,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// A connection must not be given up because its upstream is silent for a second or two.
-func TestConnectionEndsInSilence(t *testing.T) {
-	const tolerated = 3 * time.Second
+// tolerated is the silence that must not end a connection.
+const tolerated = 3 * time.Second
+
+// connectUpstream returns a connection to an upstream and the upstream's end of it.
+func connectUpstream(t *testing.T) (*conn, *net.TCPConn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -23,7 +26,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return c, peer.(*net.TCPConn)
+}
+
+// A connection must not be given up because its upstream is silent for a second or two.
+func TestConnectionEndsInSilence(t *testing.T) {
+	c, _ := connectUpstream(t)
 	option := func(level, name int) int {
 		t.Helper()
 		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
@@ -50,27 +64,12 @@
 // A connection must not end because its peer is not heard for a second or two from the
 // moment of the first probe on, whatever the options of its socket say.
 func TestConnectionEndsBetweenProbes(t *testing.T) {
-	const tolerated = 3 * time.Second
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	c, err := newConnPool().get(context.Background(), upstreamAt(l.Addr().String()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	peer, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
+	c, peer := connectUpstream(t)
 	time.Sleep(keepAlive.Idle - 100*time.Millisecond)
-	silence(t, peer.(*net.TCPConn))
+	silence(t, peer)
 	began := time.Now()
 	_ = c.SetReadDeadline(began.Add(tolerated + 500*time.Millisecond))
-	_, err = c.Read(make([]byte, 1))
+	_, err := c.Read(make([]byte, 1))
 	if took := time.Since(began); took < tolerated {
 		t.Errorf("connection ends after %s of silence (%v), want %s or more", took, err, tolerated)
 	}
