Log what decides about a request on a stopping host

A stopping host decides whether a request still fits into its grace period, and no line showed by which figures, nor whether the request came on a kept or a new connection. The lines admitted, send, reply and cut now have stop_ms, expected_ms, conn_age_ms and conn_earlier while the host is stopping.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -117,7 +117,7 @@
 	u.inFlight++
 	u.pendingTokens += r.PromptTokens
 	n.counts.Sent++
-	n.record(r, trace.Sent, "", append(r.origin.attrs(now), "attempt", r.attempts, "upstream", u.ID, "zone", u.Zone, "service", r.service,
+	n.record(r, trace.Sent, "", append(append(r.origin.attrs(now), n.stopAttrs(now, r)...), "attempt", r.attempts, "upstream", u.ID, "zone", u.Zone, "service", r.service,
 		"software", u.Version, "flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())...)
 	n.recordOrigin(now, r, r.current)
 	n.emit(n.sendEffect(now, r))
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -35,6 +35,15 @@
 	// Resumes is the ID of the attempt that brought the first event of the stream that
 	// the client resumes, or empty.
 	Resumes string
+	// Connection describes the client's connection. It is only logged.
+	Connection Connection
+}
+
+// A Connection is a client's connection as a request arrives on it.
+type Connection struct {
+	Age time.Duration
+	// Earlier is the number of requests that arrived on it before.
+	Earlier int
 }
 
 // An Event is an input of the reducer.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -153,8 +153,8 @@
 	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
 	n.counts.Admitted++
-	n.record(r, trace.Admitted, "", "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
-		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())
+	n.record(r, trace.Admitted, "", append(n.stopAttrs(now, r), "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
+		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())...)
 	if r.route.Kind == fleet.Stream && r.LastEventID != "" {
 		n.findOrigin(r)
 		return
@@ -212,14 +212,31 @@
 // outlastsStop reports whether the node is stopping and the request is not likely to end
 // before that.
 func (n *Node) outlastsStop(now time.Time, r *request) bool {
+	return n.stopping() && now.Add(time.Duration(stopSafetyFactor*float64(n.answerTime(r)))).After(n.stopBy)
+}
+
+// answerTime estimates the time from the arrival of a request to the end of its answer.
+func (n *Node) answerTime(r *request) time.Duration {
+	if average, ok := n.answerTimes[r.route.Name]; ok {
+		return average
+	}
+	return r.route.Objective
+}
+
+// stopAttrs returns the log attributes that explain the decisions of a stopping node, or
+// nothing if it is not stopping.
+func (n *Node) stopAttrs(now time.Time, r *request) []any {
 	if !n.stopping() {
-		return false
+		return nil
 	}
-	expected, ok := n.answerTimes[r.route.Name]
-	if !ok {
-		expected = r.route.Objective
+	attrs := []any{
+		"stop_ms", n.stopBy.Sub(now).Milliseconds(),
+		"conn_age_ms", r.Connection.Age.Milliseconds(), "conn_earlier", r.Connection.Earlier,
+	}
+	if r.route != nil {
+		attrs = append(attrs, "expected_ms", n.answerTime(r).Milliseconds())
 	}
-	return now.Add(time.Duration(stopSafetyFactor * float64(expected))).After(n.stopBy)
+	return attrs
 }
 
 // fail ends a request without a complete response, unless a stalled attempt may still
@@ -249,8 +266,8 @@
 		retryAfter += time.Duration(r.Number*7919%100) * retryJitter / 100
 	}
 	n.counts.Replies[reason]++
-	n.recordSince(now, r.arrived, r, trace.Replied, reason, "status", status, "retry_after_ms", retryAfter.Milliseconds(),
-		"attempts", r.attempts, "version", n.version())
+	n.recordSince(now, r.arrived, r, trace.Replied, reason, append(n.stopAttrs(now, r), "status", status,
+		"retry_after_ms", retryAfter.Milliseconds(), "attempts", r.attempts, "version", n.version())...)
 	n.emit(Reply{Number: r.Number, Status: status, Reason: reason, RetryAfter: retryAfter})
 	n.end(r)
 }
@@ -307,8 +324,8 @@
 // abort aborts a response that the client has part of.
 func (n *Node) abort(now time.Time, r *request, reason Reason) {
 	n.counts.Cut++
-	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason, "attempts", r.attempts, "failure", string(r.lastFailure),
-		"last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())
+	n.recordSince(now, r.arrived, r, trace.AnswerAborted, reason, append(n.stopAttrs(now, r), "attempts", r.attempts, "failure", string(r.lastFailure),
+		"last_event", r.lastEventID, "left_ms", r.deadline.Sub(now).Milliseconds(), "version", n.version())...)
 	n.emit(Abort{Number: r.Number, Reason: reason})
 	n.end(r)
 }
--- a/relay/client.go
+++ b/relay/client.go
@@ -27,6 +27,7 @@
 		return
 	}
 	q.Number = s.lastNumber.Add(1)
+	q.Connection = connectionOf(r)
 	x := &exchange{
 		server: s, writer: w, httpRequest: r, body: body, request: q,
 		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"teaselplank/proxy"
 )
 
 // A clientListener tracks the connections of clients. It replaces the handling of idle
@@ -27,8 +30,8 @@
 	mu sync.Mutex
 	// busy is true from the first bytes of a request until its answer was written.
 	busy bool
-	// used is true once a request has been read.
-	used bool
+	// requests is the number of requests of which something was read.
+	requests int
 	// closing is true if the connection is to be closed unless a request arrives first.
 	closing bool
 }
@@ -37,6 +40,25 @@
 	return &clientListener{Listener: l, open: make(map[*clientConn]struct{})}
 }
 
+// clientConnKey is the key of a request's *clientConn in its context.
+type clientConnKey struct{}
+
+// withConn is the ConnContext hook of the server that serves the listener.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, conn)
+}
+
+// connectionOf describes the connection of a request that is being served.
+func connectionOf(r *http.Request) proxy.Connection {
+	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		return proxy.Connection{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return proxy.Connection{Age: time.Since(c.accepted), Earlier: c.requests - 1}
+}
+
 // Accept implements net.Listener.
 func (l *clientListener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
@@ -83,7 +105,7 @@
 func (c *clientConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.used && now.Sub(c.accepted) < firstRequestTime {
+	if c.busy || c.requests == 0 && now.Sub(c.accepted) < firstRequestTime {
 		return
 	}
 	c.closing = true
@@ -110,7 +132,10 @@
 func (c *clientConn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.used = true, true
+	if !c.busy {
+		c.requests++
+	}
+	c.busy = true
 	if c.closing {
 		c.closing = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -231,7 +231,7 @@
 		}
 		if addr == s.settings.Callers {
 			clients = newClientListener(l)
-			l, server.ConnState = clients, clients.track
+			l, server.ConnState, server.ConnContext = clients, clients.track, withConn
 		}
 		go func() { errs <- server.Serve(l) }()
 	}
