--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -224,15 +224,21 @@
 // wantRuns checks how often the workers of a service ran a request.
 func (d *deployment) wantRuns(id, service string, minRuns, maxRuns int) {
 	d.t.Helper()
+	runs := d.runs(id, service)
+	if runs < minRuns || runs > maxRuns {
+		d.t.Errorf("request %s was run %d times by %q, want %d to %d", id, runs, service, minRuns, maxRuns)
+	}
+}
+
+// runs returns how often the workers of a service ran a request.
+func (d *deployment) runs(id, service string) int {
 	runs := 0
 	for _, w := range d.workers {
 		if w.Service == service {
 			runs += w.Runs(id)
 		}
 	}
-	if runs < minRuns || runs > maxRuns {
-		d.t.Errorf("request %s was run %d times by %q, want %d to %d", id, runs, service, minRuns, maxRuns)
-	}
+	return runs
 }
 
 func (d *deployment) setFaults(service string, f stand.Fault) {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -139,3 +139,45 @@
 		t.Errorf("headers are %v, connection closes: %v; want a time to retry and the connection closed", r.header, r.closes)
 	}
 }
+
+// A stopping node must not cut an answer that takes longer than the answers before.
+func TestLongAnswerCutByStop(t *testing.T) {
+	const (
+		grace = 3 * time.Second
+		// wait is when the last clients connect after the stop, and eventDelay makes
+		// their answers outlast it.
+		wait       = 1200 * time.Millisecond
+		eventDelay = 250 * time.Millisecond
+		// early is when a client connects that keeps the node from exiting at once.
+		early = 800 * time.Millisecond
+	)
+	d := deploy(t, 0)
+	settings := d.settings("alone")
+	settings.Grace = grace
+	n := d.addNodeWith(settings)
+	d.await("the node is ready", func() bool { return d.isReady(n) })
+	for range 3 {
+		wantStatus(t, d.ask(n, stand.PathOnce), http.StatusOK)
+	}
+	for _, w := range d.workers {
+		if w.Kind == stand.Engine {
+			w.Delay = eventDelay
+		}
+	}
+	n.stop()
+	time.Sleep(early)
+	dialKept(t, n.addr)
+	time.Sleep(wait - early)
+	r := d.ask(n, stand.PathOnce)
+	if r.status == http.StatusOK {
+		if r.err != nil || r.body != allEvents {
+			t.Errorf("request %s was cut after %q (%v)", r.id, r.body, r.err)
+		}
+	} else {
+		wantStatus(t, r, http.StatusServiceUnavailable)
+		d.wantRuns(r.id, stand.ServiceEngine, 0, 0)
+	}
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+}
