Refuse what may outlast the stop of a host

What callers saw: a host that had got SIGTERM 4.5 s before took a stream and closed the connection in the middle of its answer 2.8 s later.

Cause: a limit that must hold for each request was decided by an average, and once. The host compared 1.5 times the moving average of the route's answers with the rest of its grace period when the request arrived; answers that took longer were cut, and nobody asked again after the stages. Clients keep arriving on new connections until the exit, since the front end uses hosts out of rotation if most of an availability zone's are.

Change: once the front end has had time to take the host out of rotation, only requests that end by their own deadline before the stop are taken. Until then the mean and four mean deviations must fit, as TCP bounds round trips, and the time limit of the route stands where no answer is known. The question is asked again before the first attempt. A request that may have been executed is still retried, as a refusal would not help it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -92,6 +92,10 @@
 		n.endLate(now, r)
 		return
 	}
+	if r.isUntouched() && n.mayOutlastStop(now, r, n.responseTimes) {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
+		return
+	}
 	chosen, ok := n.pick(p.candidates(now, r), r)
 	if !ok {
 		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now, r)))
@@ -123,6 +127,12 @@
 	n.emit(n.sendEffect(now, r))
 }
 
+// isUntouched reports whether no upstream may have executed the request, so that its
+// client may send it again.
+func (r *request) isUntouched() bool {
+	return r.executions == 0 && r.stalled == nil && !r.responseStarted
+}
+
 func (n *Node) countRetry(r *request) {
 	n.counts.Repeated++
 	if r.lastEventID != "" {
@@ -334,7 +344,8 @@
 	}
 	n.choose(r, a)
 	n.counts.Finished++
-	n.answerTimes[r.route.Name] = movingAverage(n.answerTimes[r.route.Name], now.Sub(r.arrived))
+	n.answerTimes.add(r, now.Sub(r.arrived))
+	n.responseTimes.add(r, now.Sub(a.sentAt))
 	if e.Status < http.StatusInternalServerError {
 		a.upstream.recordSuccess(now, now.Sub(a.sentAt))
 	}
--- a/proxy/estimate.go
+++ b/proxy/estimate.go
@@ -9,6 +9,54 @@
 // defaultFirstEventTime is the estimate for routes without a measurement.
 const defaultFirstEventTime = 150 * time.Millisecond
 
+// A durationEstimate estimates a varying duration by its mean and its mean deviation, as
+// TCP estimates round trips (RFC 6298). The zero value has seen no duration.
+type durationEstimate struct {
+	mean, deviation time.Duration
+	// known is true once a duration was added.
+	known bool
+}
+
+// The weights of a new duration, and the number of deviations that the upper bound is
+// above the mean, as in RFC 6298.
+const (
+	meanWeight      = 1.0 / 8
+	deviationWeight = 1.0 / 4
+	boundDeviations = 4
+)
+
+// add adds a duration.
+func (e *durationEstimate) add(d time.Duration) {
+	if !e.known {
+		*e = durationEstimate{mean: d, deviation: d / 2, known: true}
+		return
+	}
+	e.deviation += time.Duration(deviationWeight * float64((d-e.mean).Abs()-e.deviation))
+	e.mean += time.Duration(meanWeight * float64(d-e.mean))
+}
+
+// upperBound returns a duration that few are longer than.
+func (e durationEstimate) upperBound() time.Duration { return e.mean + boundDeviations*e.deviation }
+
+// durationsByRoute estimates a duration by the name of the route.
+type durationsByRoute map[string]durationEstimate
+
+// add adds a duration of a request.
+func (t durationsByRoute) add(r *request, d time.Duration) {
+	e := t[r.route.Name]
+	e.add(d)
+	t[r.route.Name] = e
+}
+
+// upperBound returns a duration that few requests of the route exceed. It is the time
+// limit of the route if no duration is known.
+func (t durationsByRoute) upperBound(r *request) time.Duration {
+	if e := t[r.route.Name]; e.known {
+		return min(e.upperBound(), r.route.Timeout)
+	}
+	return r.route.Timeout
+}
+
 // stageTime estimates how long a stage takes once its inputs are available. It assumes
 // half-full calls.
 func (n *Node) stageTime(r *request, stage int) time.Duration {
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -152,10 +152,14 @@
 	}
 	// NodeCount carries the number of nodes that share the work.
 	NodeCount struct{ Count int }
-	// Stop marks the node as shutting down, so that it is no longer ready. Requests
-	// that still arrive are served if they are likely to end by the time Until, when
-	// all requests get their final answers.
-	Stop struct{ Until time.Time }
+	// Stop marks the node as shutting down, so that it is no longer ready.
+	Stop struct {
+		// Unlisted is when the front end has taken the node out of rotation. It may still
+		// send clients after that if it has no other nodes.
+		Unlisted time.Time
+		// Until is when all requests get their final answers.
+		Until time.Time
+	}
 )
 
 func (RequestArrived) ProxyEvent()      {}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -47,11 +47,12 @@
 	firstEventTimes map[string]time.Duration
 	// nodes is the largest number of nodes seen; they share the budget.
 	nodes int
-	// answerTimes is the moving average of the time from the arrival of a request to
-	// the end of its answer, by route.
-	answerTimes map[string]time.Duration
-	// stopBy is when all requests must have ended, or zero if the node is not stopping.
-	stopBy  time.Time
+	// answerTimes is the time from the arrival of a request to the end of its answer,
+	// and responseTimes the time from sending it to that end.
+	answerTimes   durationsByRoute
+	responseTimes durationsByRoute
+	// stop is how the node shuts down, or zero.
+	stop    Stop
 	effects []Effect
 	counts  Counts
 }
@@ -71,7 +72,8 @@
 		pools:           make(map[string]*pool),
 		requests:        make(map[uint64]*request),
 		firstEventTimes: make(map[string]time.Duration),
-		answerTimes:     make(map[string]time.Duration),
+		answerTimes:     make(durationsByRoute),
+		responseTimes:   make(durationsByRoute),
 		sharing:         make(map[string]bool),
 		nodes:           1,
 		counts:          Counts{Replies: make(map[Reason]int64)},
@@ -117,7 +119,7 @@
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
 	case Stop:
-		n.stopBy = e.Until
+		n.stop = e
 	}
 	return n.effects
 }
@@ -134,8 +136,6 @@
 // Table returns the configuration in force, or nil.
 func (n *Node) Table() *fleet.Table { return n.table }
 
-func (n *Node) stopping() bool { return !n.stopBy.IsZero() }
-
 // Unready returns why the node cannot serve requests, or an empty string.
 func (n *Node) Unready() string {
 	switch {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -147,7 +147,7 @@
 	r.service = r.route.Target(targetID(q))
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.setDeadlines(now, r)
-	if n.outlastsStop(now, r) {
+	if n.mayOutlastStop(now, r, n.answerTimes) {
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
 		return
 	}
@@ -206,39 +206,6 @@
 	r.due = now.Add(r.route.Objective)
 }
 
-// stopSafetyFactor allows for answers that take longer than the average.
-const stopSafetyFactor = 1.5
-
-// outlastsStop reports whether the node is stopping and the request is not likely to end
-// before that.
-func (n *Node) outlastsStop(now time.Time, r *request) bool {
-	return n.stopping() && now.Add(time.Duration(stopSafetyFactor*float64(n.answerTime(r)))).After(n.stopBy)
-}
-
-// answerTime estimates the time from the arrival of a request to the end of its answer.
-func (n *Node) answerTime(r *request) time.Duration {
-	if average, ok := n.answerTimes[r.route.Name]; ok {
-		return average
-	}
-	return r.route.Objective
-}
-
-// stopAttrs returns the log attributes that explain the decisions of a stopping node, or
-// nothing if it is not stopping.
-func (n *Node) stopAttrs(now time.Time, r *request) []any {
-	if !n.stopping() {
-		return nil
-	}
-	attrs := []any{
-		"stop_ms", n.stopBy.Sub(now).Milliseconds(),
-		"conn_age_ms", r.Connection.Age.Milliseconds(), "conn_earlier", r.Connection.Earlier,
-	}
-	if r.route != nil {
-		attrs = append(attrs, "expected_ms", n.answerTime(r).Milliseconds())
-	}
-	return attrs
-}
-
 // fail ends a request without a complete response, unless a stalled attempt may still
 // have one. If an attempt may have been executed, the reply is a 502, since a 503 tells the
 // client that the request was not executed.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -255,8 +255,8 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
-	// notReadyDelay is how long the platform's front end may still send new
-	// connections to a node that reports not ready.
+	// notReadyDelay is how long the platform's front end takes until a node that reports
+	// not ready is out of rotation.
 	notReadyDelay = 2600 * time.Millisecond
 	// answerMargin is how long before the end of the grace period the requests in
 	// progress get their final answers, and exitMargin how long before it the process
@@ -280,7 +280,8 @@
 	exitBy := begin.Add(s.settings.Grace - exitMargin)
 	s.logger.Info("node is draining", "node", s.self.ID, "requests", s.requestCount())
 	s.draining.Store(true)
-	s.step(proxy.Stop{Until: s.now().Add(time.Until(answerBy))})
+	unlisted := begin.Add(min(notReadyDelay, s.settings.Grace/3))
+	s.step(proxy.Stop{Unlisted: s.now().Add(time.Until(unlisted)), Until: s.now().Add(time.Until(answerBy))})
 	s.memberStep(member.Stop{})
 	go s.deregister()
 	if s.stageOwner(s.self.Zone).ID != s.self.ID {
@@ -288,7 +289,7 @@
 	}
 	overdue := time.AfterFunc(time.Until(answerBy), s.endRequests)
 	defer overdue.Stop()
-	time.Sleep(min(notReadyDelay, s.settings.Grace/3))
+	time.Sleep(time.Until(unlisted))
 	for time.Now().Before(exitBy) && (clients.len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
 		clients.closeIdle(time.Now())
 		time.Sleep(drainPollInterval)
