Accept no connections after the last request of a stop

What callers could see: a request that arrives between the last look at the requests in progress and the exit of the process is read, may be sent to an upstream, and is cut.

The look at whether a request fits was made once, and new ones could still arrive after it.

Change: once nothing is in progress, or its time is over, the listener for clients is closed, and the node waits once more for what the last connections bring. Clients that connect later are refused by the system and turn to other hosts.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -272,8 +272,9 @@
 
 // drain reports the node as not ready and keeps serving the requests that still arrive.
 // Once the front end has noticed, it closes idle connections and waits until all requests
-// and the jobs of other nodes have ended. Requests in progress near the end of the grace
-// period get a final answer.
+// and the jobs of other nodes have ended. It then accepts no more connections and waits
+// for the requests of the last ones. Requests in progress near the end of the grace period
+// get a final answer.
 func (s *Server) drain(clients *clientListener) {
 	begin := time.Now()
 	answerBy := begin.Add(s.settings.Grace - answerMargin)
@@ -290,10 +291,9 @@
 	overdue := time.AfterFunc(time.Until(answerBy), s.endRequests)
 	defer overdue.Stop()
 	time.Sleep(time.Until(unlisted))
-	for time.Now().Before(exitBy) && (clients.len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
-		clients.closeIdle(time.Now())
-		time.Sleep(drainPollInterval)
-	}
+	s.awaitIdle(clients, answerBy)
+	s.stopAccepting(clients)
+	s.awaitIdle(clients, exitBy)
 	if s.owner.busy() {
 		s.owner.step(batch.Close{})
 		time.Sleep(handOverTime)
@@ -303,6 +303,23 @@
 	}
 }
 
+// awaitIdle closes idle connections until there is neither a connection nor work in
+// progress, or the time has come.
+func (s *Server) awaitIdle(clients *clientListener, by time.Time) {
+	for time.Now().Before(by) && (clients.len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
+		clients.closeIdle(time.Now())
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// stopAccepting makes new connections fail, so that clients turn to other nodes instead of
+// sending a request that the exit would cut.
+func (s *Server) stopAccepting(clients *clientListener) {
+	if err := clients.Listener.Close(); err != nil {
+		s.logger.Warn("cannot close the listener for clients", "error", err.Error())
+	}
+}
+
 func (s *Server) requestCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -181,3 +181,40 @@
 		t.Error(err)
 	}
 }
+
+// Clients that connect until the node exits must get an answer to each request that was
+// sent to an upstream.
+func TestRequestTakenAtExit(t *testing.T) {
+	const interval = 3 * time.Millisecond
+	d := deploy(t, 0, func(w *stand.Worker) {
+		if w.Kind == stand.Plain {
+			w.Delay = 30 * time.Millisecond
+		}
+	})
+	settings := d.settings("alone")
+	settings.Grace = 2 * time.Second
+	n := d.addNodeWith(settings)
+	d.await("the node is ready", func() bool { return d.isReady(n) })
+	n.stop()
+	var group sync.WaitGroup
+	for i := 0; ; i++ {
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			break // The node has exited.
+		}
+		group.Go(func() {
+			defer conn.Close()
+			k := &keptConn{conn: conn, reader: bufio.NewReader(conn), addr: n.addr}
+			id := fmt.Sprint("at-exit-", i)
+			if err := k.ask(id); err != nil && d.runs(id, stand.ServiceDesk) > 0 {
+				t.Errorf("request %s was sent to an upstream and got no answer: %v", id, err)
+			}
+		})
+		time.Sleep(interval)
+		if i > int(2*settings.Grace/interval) {
+			t.Error("the node still accepts connections after its grace period")
+			break
+		}
+	}
+	group.Wait()
+}
