Log the prompt parts of broken attempts and how far their responses came

At a crash of an upstream, no line showed which part of the prompts the broken requests share, nor which of them had a response head or an event: the incident's timeline had to infer both. attempt failed now has born, head, events and parts.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -367,7 +367,8 @@
 	r.lastFailure = e.Failure
 	r.noteProgress(e.LastEventID, e.ResponseStarted)
 	n.recordSince(now, a.sentAt, r, trace.AttemptFailed, "", "failure", string(e.Failure), "attempt", e.Attempt,
-		"upstream", a.upstream.ID, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause, "last_event", r.lastEventID)
+		"upstream", a.upstream.ID, "born", a.upstream.Born, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause,
+		"head", a.responding, "events", a.started, "last_event", r.lastEventID, "parts", r.PromptParts)
 	if e.Failure.Unsent() {
 		r.setExecuted(a, false)
 		n.suspectUnreachable(now, a.upstream, e.Failure)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -25,6 +25,9 @@
 	// it that other requests share.
 	PromptTokens int
 	SharedPrefix string
+	// PromptParts are the IDs of the parts of the prompt that other requests may share,
+	// in order.
+	PromptParts []string
 	// Pieces is the number of pieces of each stage. PieceKey tells the workers of
 	// the stages without inputs what to work on.
 	Pieces   []int
