Show that requests with one part crash upstreams on and on

What users saw: requests of one kind crashed upstreams one after the other, 22 and 39 of them more than 3 s after five had ended.

--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+const (
+	// learnTime is how long the nodes may take after the fifth crash until no request with
+	// the part reaches upstreams, but for lateArrivals.
+	learnTime    = 3 * time.Second
+	lateArrivals = 3
+	// crashesToLearn is the number of crashes that suffice to find the part.
+	crashesToLearn = 5
+)
+
+// deployWithCrashes starts eight engines that crash on a part, and nodes.
+func deployWithCrashes(t *testing.T, nodes int) (*deployment, *stand.CrashPart) {
+	t.Helper()
+	part := &stand.CrashPart{ID: "bad", RestartAfter: 500 * time.Millisecond}
+	d := deploy(t, nodes, func(w *stand.Worker) {
+		if w.Kind == stand.Engine {
+			w.CrashPart = part
+		}
+	})
+	for i := range 3 {
+		for _, zone := range []string{"a", "b"} {
+			d.addEngine(fmt.Sprint("engine-", zone, i), zone)
+		}
+	}
+	return d, part
+}
+
+// askPrompt sends a request whose prompt has the first part of all others, a second part
+// and one of its own.
+func (d *deployment) askPrompt(n *testNode, id, path, part string) result {
+	return d.askAs(n, id, path, func(r *http.Request) { stand.SetPrompt(r, "first", part, "own-"+id) })
+}
+
+// sendCrashing sends requests with the part for a time, at all nodes in turn. It returns the
+// function that waits for their answers.
+func (d *deployment) sendCrashing(part *stand.CrashPart, length time.Duration) (wait func()) {
+	const interval = 150 * time.Millisecond
+	var group sync.WaitGroup
+	group.Go(func() {
+		for i := range int(length / interval) {
+			n, path := d.nodes[i%len(d.nodes)], []string{stand.PathOnce, stand.PathStream}[i/2%2]
+			group.Go(func() { d.askPrompt(n, fmt.Sprint("crashing-", i), path, part.ID) })
+			time.Sleep(interval)
+		}
+	})
+	return group.Wait
+}
+
+// wantPartLearned checks that the nodes kept a part from upstreams once they could know it.
+func wantPartLearned(t *testing.T, part *stand.CrashPart) {
+	t.Helper()
+	crashes := part.Crashes()
+	if len(crashes) < crashesToLearn {
+		return
+	}
+	if got := part.ArrivalsAfter(crashes[crashesToLearn-1].Add(learnTime)); got > lateArrivals {
+		t.Errorf("%d requests with the part reached upstreams later than %s after the crash number %d of %d, want %d at most",
+			got, learnTime, crashesToLearn, len(crashes), lateArrivals)
+	}
+}
+
+// Requests with a part that crashes upstreams must be kept from them, and no others.
+func TestPartCrashesUpstreamsOnAndOn(t *testing.T) {
+	const (
+		length   = 7 * time.Second
+		interval = 40 * time.Millisecond
+		// lastPart is the time at the end in which sound requests must be served.
+		lastPart = 2 * time.Second
+	)
+	d, part := deployWithCrashes(t, 3)
+	started := time.Now()
+	wait := d.sendCrashing(part, length)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	sent, served := 0, 0
+	for i := range int(length / interval) {
+		n, sentAt := d.nodes[i%len(d.nodes)], time.Since(started)
+		group.Go(func() {
+			r := d.askPrompt(n, fmt.Sprint("sound-", i), stand.PathOnce, fmt.Sprint("good-", i%20))
+			mu.Lock()
+			defer mu.Unlock()
+			if sentAt > length-lastPart {
+				sent++
+				if r.err == nil && r.status == http.StatusOK {
+					served++
+				}
+			}
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	wait()
+	wantPartLearned(t, part)
+	if served < sent*9/10 {
+		t.Errorf("%d of the last %d sound requests are served, want nine tenths at least", served, sent)
+	}
+}
+
+// What the nodes have learned must hold for nodes that start later, also if no other is left.
+func TestPartForgottenByNewNodes(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all restart: %v", restart), func(t *testing.T) {
+			d, part := deployWithCrashes(t, 2)
+			d.sendCrashing(part, 4*time.Second)()
+			if restart {
+				for _, n := range d.nodes {
+					n.stop()
+					n.server.close()
+				}
+			}
+			n := d.addNode("late")
+			d.await("the new node is ready", func() bool { return d.isReady(n) })
+			ready := time.Now()
+			for i := range 4 {
+				d.askPrompt(n, fmt.Sprint("late-", i), stand.PathOnce, part.ID)
+			}
+			if got := part.ArrivalsAfter(ready); got > 0 {
+				t.Errorf("%d requests with the part reached upstreams from a new node, want none", got)
+			}
+		})
+	}
+}
