Set the deadline of a pipe before the other end may close it

A net.Pipe takes no deadline once its other end is closed, which is what the test waits for: the pool had closed the connection before. The deadline is now set first; the check that the connection is closed stands as it was.

--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -289,10 +289,11 @@
 		ours, theirs := net.Pipe()
 		defer theirs.Close()
 		newConn(ours, newConnPool(), endpoint{}).putBack(nil)
-		if _, err := io.WriteString(theirs, "x"); err != nil {
+		// A pipe whose other end is closed takes no deadline.
+		if err := theirs.SetReadDeadline(time.Now().Add(promptly)); err != nil {
 			t.Fatal(err)
 		}
-		if err := theirs.SetReadDeadline(time.Now().Add(promptly)); err != nil {
+		if _, err := io.WriteString(theirs, "x"); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := theirs.Read(make([]byte, 1)); err != io.EOF {
