Hold back requests whose prompt parts crash upstreams

Cause: nothing remembered what had crashed an upstream. Each host judged each request by itself: it sent the request again, its client returned to another host, and new requests with the same part of the prompt came to all hosts. The class: evidence that is worth something only together stays with those that saw a part of it.

At 16 of 20 crashes exactly the requests of the kind had the head of a response and no event when the connection broke; of 65 other attempts that broke none had. The first five crashes were seen by two hosts. 53 of 53 sound requests of the same account and route were answered.

Change: package poison counts, by part, the upstream processes that ended at the beginning of a response; completed responses refute. A host checks by a connection that the process has ended, and shares its cases through a keyed stream of the store, which outlives all hosts; peers exchange them while the store is away. Parts with three such processes are held back on all hosts: 503 at arrival and before each send. Parts that cannot be told apart are held back only together, so that sound requests show which one it is.

A node is ready once it knows the cases, so TestStreamRefusedBeforeSchedulerKnowsWorkers gives it none to know.

--- a/infra/registry.go
+++ b/infra/registry.go
@@ -20,6 +20,9 @@
 	// StreamNodes holds the addresses of nodes, keyed by id. Only this system uses
 	// it.
 	StreamNodes Stream = "nodes"
+	// StreamCrashes holds the cases of prompt parts that crash upstreams, keyed by part
+	// and process. Only this system uses it.
+	StreamCrashes Stream = "crashes"
 )
 
 // KeyConfig is the key of the configuration in StreamConfig.
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,353 @@
+// Package poison finds the parts of prompts that crash upstreams, and tells which requests
+// must be kept from upstreams for that.
+//
+// A case is one process of an upstream that ended while it had a request with a part. A
+// part with cases at several processes is poisonous, unless responses to other requests
+// with it were completed meanwhile. Parts that were in the same requests at all crashes
+// cannot be told apart, so only requests with all of them are held back. A part that has
+// cases at some of the processes of another part is explained by that one.
+//
+// The types are plain data without a clock. They are not safe for concurrent use.
+package poison
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselplank/queue"
+)
+
+// A Process is one start of an upstream.
+type Process struct {
+	ID string
+	// Born is the start of the process in milliseconds of Unix time.
+	Born int64
+}
+
+// A Weight says how much a case counts.
+type Weight int
+
+const (
+	// Refuted is the weight of a case that counts no more, as a response to a request
+	// with the part was completed later.
+	Refuted Weight = 0
+	// Waiting is the weight of a request whose response had not begun: another request at
+	// the process may have ended it.
+	Waiting Weight = 1
+	// Begun is the weight of a request whose response had begun but had no content.
+	Begun Weight = 2
+)
+
+// poisonWeight is the sum of weights from which a part is poisonous: three processes that
+// ended at the beginning of a response, or twice as many with the request waiting.
+const poisonWeight = 3 * Begun
+
+// A Case says that a process ended while it had a request with a part.
+type Case struct {
+	Part    string
+	Process Process
+	Weight  Weight
+}
+
+// Key returns a short text that identifies the part and the process of the case.
+func (c Case) Key() string {
+	return fmt.Sprintf("%s/%x", c.Part, xxhash.Sum64String(fmt.Sprint(c.Process.ID, "/", c.Process.Born)))
+}
+
+const (
+	// maxSuspects and maxCases bound the parts that are known and the cases of each of
+	// them.
+	maxSuspects = 1024
+	maxCases    = 16
+	// maxCompleted bounds the parts of which the last completion is known.
+	maxCompleted = 4096
+	// soundTime is how long a completed response shows that its parts are sound. It
+	// keeps the cases of frequent parts from being shared.
+	soundTime = 2 * time.Second
+)
+
+// KeepTime is how long a part is remembered after its last case, or after the last request
+// with it was held back.
+const KeepTime = 10 * time.Minute
+
+// A Detector holds the cases of all nodes. The zero value knows none.
+type Detector struct {
+	suspects map[string]*suspect
+	// groups are the sets of parts that crash upstreams. They are derived from suspects.
+	groups [][]string
+	// completed is when the last response to a request with a part was completed.
+	completed queue.FIFOMap[string, time.Time]
+}
+
+// A suspect is a part with cases.
+type suspect struct {
+	// cases are those that count, and refuted those that do not. No process is in both.
+	cases   map[Process]Weight
+	refuted map[Process]bool
+	// published is true once the refuted cases were returned to be shared.
+	published bool
+	// lastSeen is when the part last had a case or was in a request that was held back.
+	lastSeen time.Time
+}
+
+func (s *suspect) weight() Weight {
+	sum := Weight(0)
+	for _, w := range s.cases {
+		sum += w
+	}
+	return sum
+}
+
+// Add adds a case. It returns the cases of the part that must be refuted at other nodes
+// for it: those before the last completed response.
+func (d *Detector) Add(now time.Time, c Case) (refuted []Case) {
+	if c.Part == "" || c.Weight <= Refuted {
+		return nil
+	}
+	s := d.suspect(now, c.Part)
+	if s.refuted[c.Process] || s.cases[c.Process] >= c.Weight || len(s.cases) >= maxCases {
+		return nil
+	}
+	s.cases[c.Process] = c.Weight
+	s.lastSeen = now
+	d.group()
+	return s.publish(c.Part)
+}
+
+// Excuses reports whether a part is not to be suspected for a case of the given weight,
+// since responses to requests with it were completed: a short time ago, or ever, if the
+// request was only waiting. Many processes may end at once for another reason, and frequent
+// parts are then waiting at all of them.
+func (d *Detector) Excuses(now time.Time, part string, w Weight) bool {
+	at, ok := d.completed.Get(part)
+	return ok && (now.Sub(at) < soundTime || w == Waiting && now.Sub(at) < KeepTime)
+}
+
+// suspect returns the entry of a part. If there are too many, it replaces the one that was
+// seen least recently.
+func (d *Detector) suspect(now time.Time, part string) *suspect {
+	if s := d.suspects[part]; s != nil {
+		return s
+	}
+	if d.suspects == nil {
+		d.suspects = make(map[string]*suspect)
+	}
+	if len(d.suspects) >= maxSuspects {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), func(a, b string) int {
+			return cmp.Or(d.suspects[a].lastSeen.Compare(d.suspects[b].lastSeen), cmp.Compare(a, b))
+		})
+		delete(d.suspects, oldest)
+	}
+	s := &suspect{cases: make(map[Process]Weight), refuted: make(map[Process]bool), lastSeen: now}
+	d.suspects[part] = s
+	return s
+}
+
+// Withdraw removes the cases of a process, which has not ended.
+func (d *Detector) Withdraw(p Process) {
+	for part, s := range d.suspects {
+		delete(s.cases, p)
+		if len(s.cases)+len(s.refuted) == 0 {
+			delete(d.suspects, part)
+		}
+	}
+	d.group()
+}
+
+// Completed records a completed response to a request with the parts: their cases so far
+// do not count. It returns those that must be refuted at other nodes at once, because they
+// are about to hold sound requests back.
+func (d *Detector) Completed(now time.Time, parts []string) (refuted []Case) {
+	d.completed.Limit = maxCompleted
+	changed := false
+	for _, part := range parts {
+		d.completed.Put(part, now)
+		s := d.suspects[part]
+		if s == nil || len(s.cases) == 0 {
+			continue
+		}
+		changed = true
+		urgent := s.weight() >= poisonWeight/2
+		s.refute()
+		if urgent {
+			refuted = append(refuted, s.publish(part)...)
+		}
+	}
+	if changed {
+		d.group()
+	}
+	return refuted
+}
+
+// refute makes all cases count no more.
+func (s *suspect) refute() {
+	for p := range s.cases {
+		if len(s.refuted) < maxCases {
+			s.refuted[p] = true
+		}
+	}
+	clear(s.cases)
+	s.published = false
+}
+
+// publish returns the refuted cases unless they were returned before.
+func (s *suspect) publish(part string) []Case {
+	if s.published || len(s.refuted) == 0 {
+		return nil
+	}
+	s.published = true
+	return slices.DeleteFunc(s.list(part), func(c Case) bool { return c.Weight > Refuted })
+}
+
+// Refute records that another node has refuted a case.
+func (d *Detector) Refute(now time.Time, c Case) {
+	s := d.suspect(now, c.Part)
+	delete(s.cases, c.Process)
+	if len(s.refuted) < maxCases {
+		s.refuted[c.Process] = true
+	}
+	d.group()
+}
+
+// Forget removes a case that another node has forgotten. It returns false if the case is
+// kept, because requests with the part are still held back here.
+func (d *Detector) Forget(now time.Time, c Case) bool {
+	s := d.suspects[c.Part]
+	if s == nil {
+		return true
+	}
+	if s.cases[c.Process] > Refuted && now.Sub(s.lastSeen) < KeepTime {
+		return false
+	}
+	delete(s.cases, c.Process)
+	delete(s.refuted, c.Process)
+	if len(s.cases)+len(s.refuted) == 0 {
+		delete(d.suspects, c.Part)
+	}
+	d.group()
+	return true
+}
+
+// Expire removes the parts that were not seen for keep and returns their cases.
+func (d *Detector) Expire(now time.Time, keep time.Duration) []Case {
+	var expired []Case
+	for part, s := range d.suspects {
+		if now.Sub(s.lastSeen) < keep {
+			continue
+		}
+		expired = append(expired, s.list(part)...)
+		delete(d.suspects, part)
+	}
+	if len(expired) > 0 {
+		d.group()
+	}
+	return expired
+}
+
+// list returns all cases of a part, also the refuted ones, in order.
+func (s *suspect) list(part string) []Case {
+	var list []Case
+	for p, w := range s.cases {
+		list = append(list, Case{Part: part, Process: p, Weight: w})
+	}
+	for p := range s.refuted {
+		list = append(list, Case{Part: part, Process: p, Weight: Refuted})
+	}
+	slices.SortFunc(list, func(a, b Case) int {
+		return cmp.Or(cmp.Compare(a.Process.ID, b.Process.ID), cmp.Compare(a.Process.Born, b.Process.Born))
+	})
+	return list
+}
+
+// Cases returns all cases, also the refuted ones.
+func (d *Detector) Cases() []Case {
+	var list []Case
+	for part, s := range d.suspects {
+		list = append(list, s.list(part)...)
+	}
+	return list
+}
+
+// Weight returns the sum of the weights of a part's case.
+func (d *Detector) Weight(part string) Weight {
+	if s := d.suspects[part]; s != nil {
+		return s.weight()
+	}
+	return 0
+}
+
+// Groups returns the sets of parts that crash upstreams.
+func (d *Detector) Groups() [][]string { return d.groups }
+
+// Match returns the parts for which a request is to be held back, or nil if there are
+// none.
+func (d *Detector) Match(now time.Time, parts []string) []string {
+	for _, g := range d.groups {
+		if !containsAll(parts, g) {
+			continue
+		}
+		for _, part := range g {
+			d.suspects[part].lastSeen = now
+		}
+		return g
+	}
+	return nil
+}
+
+func containsAll(parts, group []string) bool {
+	for _, part := range group {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// group derives the groups from the suspects.
+func (d *Detector) group() {
+	d.groups = nil
+	for part, s := range d.suspects {
+		if s.weight() < poisonWeight {
+			continue
+		}
+		if g, first := d.inseparable(part, s); first {
+			d.groups = append(d.groups, g)
+		}
+	}
+	slices.SortFunc(d.groups, slices.Compare)
+}
+
+// inseparable returns the parts with cases at the same processes as the given one, in
+// order. It returns false if another part explains its cases, or if the part is not the
+// first of the group.
+func (d *Detector) inseparable(part string, s *suspect) (group []string, first bool) {
+	for other, o := range d.suspects {
+		if !coversAll(o.cases, s.cases) {
+			continue
+		}
+		if len(o.cases) > len(s.cases) {
+			return nil, false
+		}
+		group = append(group, other)
+	}
+	slices.Sort(group)
+	return group, group[0] == part
+}
+
+// coversAll reports whether a has all processes of b.
+func coversAll(a, b map[Process]Weight) bool {
+	if len(a) < len(b) {
+		return false
+	}
+	for p := range b {
+		if _, ok := a[p]; !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"teaselplank/picker"
+	"teaselplank/poison"
 	"teaselplank/trace"
 )
 
@@ -92,6 +93,10 @@
 		n.endLate(now, r)
 		return
 	}
+	if n.holdsBack(now, r) {
+		n.fail(now, r, ReasonPoison, poison.KeepTime)
+		return
+	}
 	if r.isUntouched() && n.mayOutlastStop(now, r, n.responseTimes) {
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
 		return
@@ -290,7 +295,7 @@
 	if !r.route.Retryable() || r.executions >= r.route.Attempts || r.attempts >= maxAttempts || p == nil {
 		return false
 	}
-	return len(p.candidates(now, r)) > 0
+	return len(p.candidates(now, r)) > 0 && n.poisonIn(now, r) == nil
 }
 
 // allowRetry reports whether a request may be retried after an attempt that may have been
@@ -344,6 +349,7 @@
 	}
 	n.choose(r, a)
 	n.counts.Finished++
+	n.completedParts(now, r, e.Status)
 	n.answerTimes.add(r, now.Sub(r.arrived))
 	n.responseTimes.add(r, now.Sub(a.sentAt))
 	if e.Status < http.StatusInternalServerError {
@@ -376,6 +382,7 @@
 		r.setExecuted(a, true)
 		a.upstream.recordFailure()
 	}
+	n.suspectParts(now, r, a, e.Failure)
 	switch {
 	case wasStalled:
 		// Another attempt is being made.
--- /dev/null
+++ b/proxy/crash.go
@@ -0,0 +1,149 @@
+package proxy
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"teaselplank/poison"
+	"teaselplank/trace"
+)
+
+// maxChecks bounds the upstreams that are checked at the same time after a failure.
+const maxChecks = 256
+
+// A crashCheck is an upstream that is being checked after an attempt there has failed.
+type crashCheck struct {
+	// cases are to be shared with the other nodes if the process has ended.
+	cases []poison.Case
+}
+
+// suspectParts suspects the parts of a request whose attempt broke before its response had
+// content. Until the upstream was checked, only this node counts the cases.
+func (n *Node) suspectParts(now time.Time, r *request, a *attempt, f Failure) {
+	if f != ConnectionFailed || a.started || !n.isEngine(r.service) {
+		return
+	}
+	process := poison.Process{ID: a.upstream.ID, Born: a.upstream.Born}
+	check, checking := n.crashChecks[process]
+	if !checking && len(n.crashChecks) >= maxChecks {
+		return
+	}
+	weight := poison.Waiting
+	if a.responding {
+		weight = poison.Begun
+	}
+	for _, part := range r.PromptParts {
+		if n.poison.Excuses(now, part, weight) {
+			continue
+		}
+		c := poison.Case{Part: part, Process: process, Weight: weight}
+		n.shareCases(n.poison.Add(now, c))
+		check.cases = append(check.cases, c)
+	}
+	if len(check.cases) == 0 {
+		return
+	}
+	n.crashChecks[process] = check
+	if !checking {
+		n.emit(CheckUpstream{Upstream: a.upstream.Upstream})
+	}
+}
+
+// upstreamChecked shares the cases of an upstream that has ended, and withdraws them if
+// it has not.
+func (n *Node) upstreamChecked(now time.Time, e UpstreamChecked) {
+	process := poison.Process{ID: e.ID, Born: e.Born}
+	check, ok := n.crashChecks[process]
+	if !ok {
+		return
+	}
+	delete(n.crashChecks, process)
+	if !e.Ended {
+		n.poison.Withdraw(process)
+		return
+	}
+	n.shareCases(check.cases)
+	n.recordPoison(now)
+}
+
+// casesRead adds what other nodes have shared.
+func (n *Node) casesRead(now time.Time, cases []poison.Case) {
+	for _, c := range cases {
+		if c.Weight == poison.Refuted {
+			n.poison.Refute(now, c)
+			continue
+		}
+		n.shareCases(n.poison.Add(now, c))
+	}
+	n.recordPoison(now)
+}
+
+// casesForgotten removes cases that another node has forgotten, and shares those again
+// that this node still needs.
+func (n *Node) casesForgotten(now time.Time, cases []poison.Case) {
+	for _, c := range cases {
+		if !n.poison.Forget(now, c) {
+			n.shareCases([]poison.Case{c})
+		}
+	}
+	n.recordPoison(now)
+}
+
+// expireCases forgets parts that were not seen for a long time.
+func (n *Node) expireCases(now time.Time) {
+	if expired := n.poison.Expire(now, poison.KeepTime+n.config.KeepDelay); len(expired) > 0 {
+		n.emit(ForgetCases{Cases: expired})
+		n.recordPoison(now)
+	}
+}
+
+// completedParts records that the parts of a request do not crash upstreams.
+func (n *Node) completedParts(now time.Time, r *request, status int) {
+	if status != http.StatusOK || !n.isEngine(r.service) {
+		return
+	}
+	n.shareCases(n.poison.Completed(now, r.PromptParts))
+	n.recordPoison(now)
+}
+
+func (n *Node) shareCases(cases []poison.Case) {
+	if len(cases) > 0 {
+		n.emit(ShareCases{Cases: cases})
+	}
+}
+
+// recordPoison records which parts requests are now held back for, if that has changed.
+func (n *Node) recordPoison(now time.Time) {
+	groups := n.poison.Groups()
+	if slices.EqualFunc(groups, n.poisonGroups, slices.Equal) {
+		return
+	}
+	n.emit(PoisonChanged{Groups: groups, Before: len(n.poisonGroups)})
+	n.poisonGroups = groups
+}
+
+// poisonIn returns the parts of a request for which it must be kept from engines, since
+// they crash them, or nil.
+func (n *Node) poisonIn(now time.Time, r *request) []string {
+	if !n.isEngine(r.service) {
+		return nil
+	}
+	return n.poison.Match(now, r.PromptParts)
+}
+
+// holdsBack reports whether a request must be kept from engines, and records why.
+func (n *Node) holdsBack(now time.Time, r *request) bool {
+	group := n.poisonIn(now, r)
+	if group == nil {
+		return false
+	}
+	n.record(r, trace.HeldBack, "", "parts", group, "weight", int(n.poison.Weight(group[0])), "attempts", r.attempts)
+	return true
+}
+
+// PoisonCases returns the cases that this node knows of prompt parts that crash upstreams.
+func (n *Node) PoisonCases() []poison.Case { return n.poison.Cases() }
+
+// PoisonGroups returns the sets of prompt parts that requests are held back for.
+func (n *Node) PoisonGroups() [][]string { return n.poison.Groups() }
--- /dev/null
+++ b/proxy/crash_test.go
@@ -0,0 +1,173 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"teaselplank/poison"
+)
+
+// prompt makes a request with the parts arrive.
+func (h *harness) prompt(parts ...string) {
+	h.number++
+	h.step(RequestArrived{Request{
+		Number: h.number, ID: "id", Host: "h", Path: "/stream/1", APIKey: "key", Timeout: 6 * time.Second, PromptParts: parts,
+	}})
+}
+
+// breakAttempt breaks an attempt before its response has content, with or without a head.
+func (h *harness) breakAttempt(number int, head bool) {
+	if head {
+		h.respond(number, http.StatusOK, false)
+	}
+	h.attemptFailed(number, ConnectionFailed, "")
+}
+
+// shared returns the cases that the last event shares.
+func (h *harness) shared() []poison.Case {
+	var cases []poison.Case
+	for _, e := range h.effects {
+		if e, ok := e.(ShareCases); ok {
+			cases = append(cases, e.Cases...)
+		}
+	}
+	return cases
+}
+
+// readCases adds cases at n processes that other nodes have shared.
+func (h *harness) readCases(part string, n int) {
+	for i := range n {
+		h.step(CasesRead{Cases: []poison.Case{{Part: part, Process: poison.Process{ID: fmt.Sprint("other", i)}, Weight: poison.Begun}}})
+	}
+}
+
+func (h *harness) wantHeldBack(want bool, parts ...string) {
+	h.t.Helper()
+	h.prompt(parts...)
+	if !want {
+		find[Send](h)
+		return
+	}
+	h.wantReply(http.StatusServiceUnavailable, ReasonPoison)
+}
+
+func TestPoisonousParts(t *testing.T) {
+	t.Run("cases are shared once the process has ended", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("first", "bad")
+		u := find[Send](h).Upstream
+		h.breakAttempt(1, true)
+		if got := find[CheckUpstream](h).Upstream.ID; got != u.ID {
+			t.Errorf("upstream %q is checked, want %q", got, u.ID)
+		}
+		h.step(UpstreamChecked{ID: u.ID, Born: u.Born, Ended: true})
+		if got := h.shared(); len(got) != 2 || got[1].Part != "bad" || got[1].Weight != poison.Begun {
+			t.Errorf("shared cases are %+v, want those of both parts", got)
+		}
+	})
+	t.Run("a process that goes on is no case", func(t *testing.T) {
+		h := newHarness(t)
+		for range 4 {
+			h.prompt("bad")
+			u := find[Send](h).Upstream
+			h.breakAttempt(1, true)
+			h.step(UpstreamChecked{ID: u.ID, Born: u.Born})
+			if got := h.shared(); len(got) != 0 {
+				t.Errorf("%d cases are shared, want none", len(got))
+			}
+			h.step(ClientDisconnected{Number: h.number})
+		}
+		h.wantHeldBack(false, "bad")
+	})
+	t.Run("held back after three processes", func(t *testing.T) {
+		h := newHarness(t)
+		h.readCases("bad", 2)
+		h.wantHeldBack(false, "first", "bad")
+		h.breakAttempt(1, true)
+		h.wantReply(http.StatusBadGateway, ReasonUpstreamFailed)
+		h.wantHeldBack(true, "first", "bad")
+		h.wantHeldBack(false, "first", "good")
+	})
+	t.Run("held back after its stages", func(t *testing.T) {
+		h := newHarness(t)
+		h.number++
+		h.step(RequestArrived{Request{
+			Number: h.number, ID: "id", Host: "h", Path: "/stream/1", APIKey: "key", Timeout: 6 * time.Second, Pieces: []int{0, 1},
+			PieceKey: "k", PromptParts: []string{"bad"},
+		}})
+		h.readCases("bad", 3)
+		h.stageDone(1, "a", "h1")
+		h.wantReply(http.StatusServiceUnavailable, ReasonPoison)
+	})
+	t.Run("an attempt with content is no case", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("first")
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		h.attemptFailed(1, ConnectionFailed, "3")
+		h.wantNone("a check of the upstream", func(e Effect) bool { _, ok := e.(CheckUpstream); return ok })
+	})
+	t.Run("a timeout is no case", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("first")
+		h.attemptFailed(1, ResponseTimeout, "")
+		h.wantNone("a check of the upstream", func(e Effect) bool { _, ok := e.(CheckUpstream); return ok })
+	})
+	t.Run("a completed response lets requests through again", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("part")
+		running := h.number
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: running, Attempt: 1})
+		h.readCases("part", 3)
+		h.prompt("part")
+		if got := find[Reply](h).Reason; got != ReasonPoison {
+			t.Errorf("reason is %q, want %q", got, ReasonPoison)
+		}
+		h.step(Finished{Number: running, Attempt: 1, Status: http.StatusOK})
+		if got := h.shared(); len(got) != 3 || got[0].Weight != poison.Refuted {
+			t.Errorf("shared cases are %+v, want three that are refuted", got)
+		}
+		h.wantHeldBack(false, "part")
+	})
+	t.Run("an error response proves nothing", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("part")
+		h.respond(1, http.StatusBadRequest, false)
+		running := h.number
+		h.readCases("part", 3)
+		h.step(Finished{Number: running, Attempt: 1, Status: http.StatusBadRequest})
+		h.wantHeldBack(true, "part")
+	})
+	t.Run("plain services are not concerned", func(t *testing.T) {
+		h := newHarness(t)
+		h.readCases("part", 3)
+		h.number++
+		h.step(RequestArrived{Request{
+			Number: h.number, ID: "id", Host: "h", Path: "/safe/1", APIKey: "key", Timeout: time.Second, PromptParts: []string{"part"},
+		}})
+		find[Send](h)
+	})
+	t.Run("forgotten elsewhere while it is still sent here", func(t *testing.T) {
+		h := newHarness(t)
+		h.readCases("bad", 3)
+		c := h.node.PoisonCases()[0]
+		h.step(CasesForgotten{Cases: []poison.Case{c}})
+		if got := h.shared(); len(got) != 1 || got[0] != c {
+			t.Errorf("shared cases are %+v, want the forgotten one", got)
+		}
+		h.wantHeldBack(true, "bad")
+	})
+	t.Run("forgotten when it was not sent for long", func(t *testing.T) {
+		h := newHarness(t)
+		h.readCases("bad", 3)
+		h.now = h.now.Add(poison.KeepTime)
+		h.step(CasesTick{})
+		if got := find[ForgetCases](h).Cases; len(got) != 3 {
+			t.Errorf("%d cases are forgotten, want 3", len(got))
+		}
+		h.wantHeldBack(false, "bad")
+	})
+}
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -6,6 +6,7 @@
 	"teaselplank/batch"
 	"teaselplank/fleet"
 	"teaselplank/origin"
+	"teaselplank/poison"
 	"teaselplank/trace"
 )
 
@@ -153,6 +154,18 @@
 		Born  int64
 		Until time.Time
 	}
+	// UpstreamChecked reports whether the process of an upstream has ended.
+	UpstreamChecked struct {
+		ID    string
+		Born  int64
+		Ended bool
+	}
+	// CasesRead carries cases of prompt parts that other nodes have shared, and
+	// CasesForgotten those that another node has forgotten.
+	CasesRead      struct{ Cases []poison.Case }
+	CasesForgotten struct{ Cases []poison.Case }
+	// CasesTick lets the node forget parts that were not seen for a long time.
+	CasesTick struct{}
 	// NodeCount carries the number of nodes that share the work.
 	NodeCount struct{ Count int }
 	// Stop marks the node as shutting down, so that it is no longer ready.
@@ -180,6 +193,10 @@
 func (Configured) ProxyEvent()          {}
 func (UpstreamsRegistered) ProxyEvent() {}
 func (UpstreamHeld) ProxyEvent()        {}
+func (UpstreamChecked) ProxyEvent()     {}
+func (CasesRead) ProxyEvent()           {}
+func (CasesForgotten) ProxyEvent()      {}
+func (CasesTick) ProxyEvent()           {}
 func (NodeCount) ProxyEvent()           {}
 func (Stop) ProxyEvent()                {}
 
@@ -312,6 +329,19 @@
 	// ShareOrigins requests that all remembered versions of the streams of a service be
 	// shared with the other nodes.
 	ShareOrigins struct{ Service string }
+	// CheckUpstream requests that UpstreamChecked report whether an upstream's process
+	// has ended.
+	CheckUpstream struct{ Upstream fleet.Upstream }
+	// ShareCases requests that cases be shared with all nodes, and ForgetCases that they
+	// be forgotten.
+	ShareCases  struct{ Cases []poison.Case }
+	ForgetCases struct{ Cases []poison.Case }
+	// PoisonChanged reports the sets of parts that requests are held back for, and the
+	// number of such sets before.
+	PoisonChanged struct {
+		Groups [][]string
+		Before int
+	}
 	// RecordDecision requests that a decision be logged and counted.
 	RecordDecision struct{ Record DecisionRecord }
 )
@@ -328,6 +358,10 @@
 func (FindOrigin) ProxyEffect()     {}
 func (RecordOrigin) ProxyEffect()   {}
 func (ShareOrigins) ProxyEffect()   {}
+func (CheckUpstream) ProxyEffect()  {}
+func (ShareCases) ProxyEffect()     {}
+func (ForgetCases) ProxyEffect()    {}
+func (PoisonChanged) ProxyEffect()  {}
 func (RecordDecision) ProxyEffect() {}
 
 // Reason is the reason for the outcome of a request.
@@ -350,6 +384,7 @@
 	ReasonAnswered       Reason = "answered"
 	ReasonInvalidRequest Reason = "request is not valid"
 	ReasonUnknownOrigin  Reason = "version that began the stream is not known"
+	ReasonPoison         Reason = "a part of the prompt crashes upstreams"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"teaselplank/budget"
 	"teaselplank/fleet"
 	"teaselplank/origin"
+	"teaselplank/poison"
 )
 
 // Config holds the settings of a Node.
@@ -27,6 +28,9 @@
 	Zone string
 	// Budget bounds the retries of all nodes together.
 	Budget budget.Config
+	// KeepDelay is how much longer than poison.KeepTime this node keeps cases of prompt
+	// parts. It differs between nodes, so that they do not all forget them at once.
+	KeepDelay time.Duration
 }
 
 // A Node is the state of the reducer. Create it with New.
@@ -52,7 +56,13 @@
 	answerTimes   durationsByRoute
 	responseTimes durationsByRoute
 	// stop is how the node shuts down, or zero.
-	stop    Stop
+	stop Stop
+	// poison finds prompt parts that crash upstreams. crashChecks are the upstreams that
+	// are being checked, and poisonGroups the sets of parts that were last reported.
+	poison       poison.Detector
+	crashChecks  map[poison.Process]crashCheck
+	poisonGroups [][]string
+
 	effects []Effect
 	counts  Counts
 }
@@ -75,14 +85,15 @@
 		answerTimes:     make(durationsByRoute),
 		responseTimes:   make(durationsByRoute),
 		sharing:         make(map[string]bool),
+		crashChecks:     make(map[poison.Process]crashCheck),
 		nodes:           1,
 		counts:          Counts{Replies: make(map[Reason]int64)},
 	}
 }
 
 // Step applies an event and returns its effects, which are valid until the next call.
-// Except for Release, RecordDecision, RecordOrigin and ShareOrigins, the effects of a
-// request's event concern only that request.
+// Except for Release, RecordDecision and the effects about origins and prompt parts, the
+// effects of a request's event concern only that request.
 func (n *Node) Step(now time.Time, event Event) []Effect {
 	n.effects = nil
 	switch e := event.(type) {
@@ -116,6 +127,14 @@
 		n.register(now, e.Upstreams)
 	case UpstreamHeld:
 		n.pauseUpstream(e)
+	case UpstreamChecked:
+		n.upstreamChecked(now, e)
+	case CasesRead:
+		n.casesRead(now, e.Cases)
+	case CasesForgotten:
+		n.casesForgotten(now, e.Cases)
+	case CasesTick:
+		n.expireCases(now)
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
 	case Stop:
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -7,6 +7,7 @@
 	"teaselplank/batch"
 	"teaselplank/fleet"
 	"teaselplank/picker"
+	"teaselplank/poison"
 	"teaselplank/state"
 	"teaselplank/trace"
 )
@@ -147,6 +148,10 @@
 	r.service = r.route.Target(targetID(q))
 	r.stages = make([]stageState, len(r.route.Stages))
 	n.setDeadlines(now, r)
+	if n.holdsBack(now, r) {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonPoison, poison.KeepTime)
+		return
+	}
 	if n.mayOutlastStop(now, r, n.answerTimes) {
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
 		return
--- /dev/null
+++ b/relay/crash.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselplank/fleet"
+	"teaselplank/infra"
+	"teaselplank/poison"
+	"teaselplank/proxy"
+)
+
+const (
+	// checkDelay is how long after a failure an upstream is checked. A process that ends
+	// closes its connections and its listener within a few milliseconds.
+	checkDelay = 25 * time.Millisecond
+	// checkTimeout bounds the connection that checks an upstream.
+	checkTimeout = 500 * time.Millisecond
+)
+
+// checkUpstream finds out whether an upstream's process has ended: if so, its host refuses
+// connections.
+func (s *Server) checkUpstream(u fleet.Upstream) {
+	if !s.sleep(checkDelay) {
+		return
+	}
+	dialer := net.Dialer{Timeout: checkTimeout}
+	c, err := dialer.DialContext(s.context, "tcp", u.Addr)
+	if err == nil {
+		c.Close()
+	}
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	s.logger.Info("upstream is checked after a failure", "upstream", u.ID, "born", u.Born, "service", u.Service, "ended", ended)
+	s.step(proxy.UpstreamChecked{ID: u.ID, Born: u.Born, Ended: ended})
+}
+
+const (
+	// crashWait is how long a read waits for new cases.
+	crashWait = 30 * time.Second
+	// maxCasesWait bounds how long a new node is not ready because it knows no cases.
+	maxCasesWait = 2 * time.Second
+	// maxKeepDelay bounds the differences between nodes in how long they keep cases.
+	maxKeepDelay = 2 * time.Minute
+	// maxPendingCases bounds the cases that wait to be written to the store.
+	maxPendingCases = 1024
+)
+
+// keepDelay returns how much longer than others a node keeps cases.
+func keepDelay(node string) time.Duration {
+	return time.Duration(xxhash.Sum64String(node) % uint64(maxKeepDelay))
+}
+
+func (s *Server) followCrashes() {
+	s.follow(feed{
+		stream: infra.StreamCrashes, wait: crashWait, pause: func() time.Duration { return 0 },
+		apply: s.applyCaseRecords,
+	})
+}
+
+// applyCaseRecords applies cases that nodes have written to the store. If the records are
+// all that the store has, the cases that it lacks are written again.
+func (s *Server) applyCaseRecords(records []infra.KeyedRecord, all bool) {
+	known := s.knownCases()
+	var cases, forgotten []poison.Case
+	for _, r := range records {
+		c, ok := known[r.Key]
+		delete(known, r.Key)
+		if len(r.Value) == 0 {
+			if ok {
+				forgotten = append(forgotten, c)
+			}
+			continue
+		}
+		var read poison.Case
+		if err := json.Unmarshal(r.Value, &read); err != nil || read.Key() != r.Key {
+			s.metrics.countInvalid("case")
+			continue
+		}
+		cases = append(cases, read)
+	}
+	if all {
+		for _, c := range known {
+			s.crashes.share([]poison.Case{c})
+		}
+	}
+	s.mu.Lock()
+	s.casesKnown = true
+	s.mu.Unlock()
+	s.step(proxy.CasesRead{Cases: cases})
+	s.step(proxy.CasesForgotten{Cases: forgotten})
+}
+
+// knownCases returns the cases that the node knows, by their keys in the store.
+func (s *Server) knownCases() map[string]poison.Case {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := make(map[string]poison.Case)
+	for _, c := range s.node.PoisonCases() {
+		known[c.Key()] = c
+	}
+	return known
+}
+
+// A crashLog writes cases to the store, in order.
+type crashLog struct {
+	server *Server
+
+	mu sync.Mutex
+	// pending holds the records to be written. writing is true while a goroutine writes
+	// them.
+	pending []infra.KeyedRecord
+	writing bool
+}
+
+// share lets the other nodes know cases.
+func (l *crashLog) share(cases []poison.Case) {
+	for _, c := range cases {
+		value, err := json.Marshal(c)
+		if err != nil {
+			l.server.logger.Error("cannot encode a case", "part", c.Part, "error", err.Error())
+			continue
+		}
+		l.enqueue(infra.KeyedRecord{Key: c.Key(), Value: value})
+	}
+}
+
+// forget lets all nodes forget cases.
+func (l *crashLog) forget(cases []poison.Case) {
+	for _, c := range cases {
+		l.enqueue(infra.KeyedRecord{Key: c.Key()})
+	}
+}
+
+// enqueue adds a record to be written. If there are too many, it is dropped: the store is
+// away, and the nodes exchange cases among themselves.
+func (l *crashLog) enqueue(r infra.KeyedRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) >= maxPendingCases {
+		l.server.metrics.countCases("dropped")
+		return
+	}
+	l.pending = append(l.pending, r)
+	if !l.writing {
+		l.writing = true
+		go l.write()
+	}
+}
+
+// write writes the pending records until none is left.
+func (l *crashLog) write() {
+	backoff := minReadBackoff
+	for r, ok := l.next(); ok; {
+		if l.put(r) {
+			backoff = minReadBackoff
+			r, ok = l.next()
+			continue
+		}
+		if !l.server.sleep(backoff) {
+			return
+		}
+		backoff = min(2*backoff, maxReadBackoff)
+	}
+}
+
+// next takes the oldest pending record. If there is none, the goroutine that writes ends.
+func (l *crashLog) next() (infra.KeyedRecord, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) == 0 {
+		l.writing = false
+		return infra.KeyedRecord{}, false
+	}
+	r := l.pending[0]
+	l.pending = l.pending[1:]
+	return r, true
+}
+
+// put writes a record and reports whether that succeeded.
+func (l *crashLog) put(r infra.KeyedRecord) bool {
+	ctx, cancel := context.WithTimeout(l.server.context, storeTimeout)
+	defer cancel()
+	if _, err := l.server.registry.Put(ctx, infra.StreamCrashes, r); err != nil {
+		l.server.metrics.countCases("failed")
+		l.server.logger.Warn("cannot write a case of a prompt part", "key", r.Key, "error", err.Error())
+		return false
+	}
+	l.server.metrics.countCases("ok")
+	return true
+}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -61,6 +61,7 @@
 func wantPartLearned(t *testing.T, part *stand.CrashPart) {
 	t.Helper()
 	crashes := part.Crashes()
+	t.Logf("%d crashes, %d requests with the part reached upstreams", len(crashes), part.ArrivalsAfter(time.Time{}))
 	if len(crashes) < crashesToLearn {
 		return
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -25,6 +25,7 @@
 	crossings        *prometheus.CounterVec
 	originsShared    *prometheus.CounterVec
 	originLookups    *prometheus.CounterVec
+	casesWritten     *prometheus.CounterVec
 	callTimes        *prometheus.HistogramVec
 	// decisionTimes measures from the start of the request, attempt or stage to a decision,
 	// stageTimes measures stages at their owner, and overruns holds the ratio of a
@@ -57,6 +58,7 @@
 		invalidRecords:   counter("invalid_records_total", "Records that could not be read.", "kind"),
 		crossings:        counter("stage_results_crossed_total", "Results of stages made in another zone than they are needed in.", "service"),
 		originsShared:    counter("stream_origins_shared_total", "Records of the versions that streams began at.", "result"),
+		casesWritten:     counter("crash_cases_written_total", "Cases of prompt parts at upstreams that ended, as written to the store.", "result"),
 		originLookups:    counter("stream_origin_lookups_total", "Lookups of the versions that streams began at.", "result"),
 		callTimes:        histogram("stage_call_seconds", "Calls to workers of stages.", durationBuckets, "service", "failure"),
 		decisionTimes:    histogram("decision_seconds", "What ends with a decision.", durationBuckets, "decision", "reason"),
@@ -69,8 +71,13 @@
 	}
 	m.registry.MustRegister(
 		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.invalidRecords,
-		m.crossings, m.originsShared, m.originLookups, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
+		m.crossings, m.originsShared, m.originLookups, m.casesWritten, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requestCount()) }),
+		gauge("poisonous_parts", "Sets of prompt parts that requests are held back for.", func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(len(s.node.PoisonGroups()))
+		}),
 		gauge("config_version", "Version of the configuration in force.", func() float64 {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -113,6 +120,10 @@
 	m.originsShared.WithLabelValues(result).Add(float64(records))
 }
 
+// countCases counts cases of prompt parts that were written to the store, failed to be, or
+// were given up.
+func (m *metrics) countCases(result string) { m.casesWritten.WithLabelValues(result).Inc() }
+
 func (m *metrics) countLookup(result string) { m.originLookups.WithLabelValues(result).Inc() }
 
 func (m *metrics) observeRead(stream infra.Stream, ok bool, took time.Duration) {
@@ -149,6 +160,7 @@
 	Batch     batch.Counts `json:"batch"`
 	Upstreams int          `json:"upstreams"`
 	Live      []string     `json:"live_nodes"`
+	Poison    [][]string   `json:"poisonous_parts"`
 }
 
 func (s *Server) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -157,6 +169,7 @@
 	d := dump{
 		Node: s.self.ID, Version: s.configVersion(), Unready: s.node.Unready(), Requests: s.node.Len(),
 		Flow: s.node.Counts(), Batch: counts, Upstreams: s.directory.Len(),
+		Poison: s.node.PoisonGroups(),
 	}
 	for _, n := range s.group.Live() {
 		d.Live = append(d.Live, n.ID)
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -15,6 +15,7 @@
 	"teaselplank/health"
 	"teaselplank/member"
 	"teaselplank/peerpb"
+	"teaselplank/poison"
 	"teaselplank/proxy"
 	"teaselplank/wire"
 )
@@ -211,7 +212,7 @@
 	if s.configVersion() > m.GetVersion() {
 		document = s.config.document
 	}
-	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed()}
+	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed(), Cases: s.node.PoisonCases()}
 	s.mu.Unlock()
 	hosts, err := json.Marshal(state)
 	if err != nil {
@@ -220,10 +221,12 @@
 	return &peerpb.StateReply{Rules: document, Hosts: hosts}, nil
 }
 
-// A peerState is what a node knows of the upstreams.
+// A peerState is what a node knows of the upstreams, and of the prompt parts that crash
+// them.
 type peerState struct {
 	Upstreams []fleet.Upstream
 	Removed   []fleet.Removal
+	Cases     []poison.Case
 }
 
 // Forward belongs to the project's own protocol; an entry host of a deployment does
@@ -344,6 +347,7 @@
 func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
 	s.join.Finish()
+	s.casesKnown = true
 	changed := s.directory.MergeRemoved(state.Removed)
 	if !s.upstreamsKnown || s.storeOutage() {
 		changed = s.putUpstreams(state.Upstreams) || changed
@@ -353,6 +357,7 @@
 		s.logger.Info("upstreams merged with those of another node", "upstreams", len(state.Upstreams), "removed", len(state.Removed))
 		s.updateReducers()
 	}
+	s.step(proxy.CasesRead{Cases: state.Cases})
 }
 
 // putUpstreams adds upstreams that another node knows and reports whether that changes
--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -36,6 +36,7 @@
 			s.mu.Lock()
 			s.join.Finish()
 			s.mu.Unlock()
+			s.applyCaseRecords(nil, true)
 			apply(t, s, test.first)
 			wantNever(t, s, "ready", func() { apply(t, s, test.second) }, func() bool { return readiness(s) == http.StatusOK })
 			if got := readiness(s); got != http.StatusOK {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,7 +93,10 @@
 	division batch.Division
 	// upstreamsKnown is true once upstreams were read from the store or a peer.
 	upstreamsKnown bool
-	streams        map[infra.Stream]*streamState
+	// casesKnown is true once the cases of prompt parts that crash upstreams were read
+	// from the store or a peer.
+	casesKnown bool
+	streams    map[infra.Stream]*streamState
 	// epoch is the newest epoch of the store that was seen, if epochKnown is true.
 	epoch      infra.Epoch
 	epochKnown bool
@@ -110,6 +113,7 @@
 	bodies   bodyPool
 	releases releaseQueue
 	origins  *origins
+	crashes  *crashLog
 
 	// restored gets a value when the store was restored.
 	restored chan struct{}
@@ -139,7 +143,9 @@
 		logger:   o.Logger,
 		started:  time.Now(),
 		self:     member.Node{ID: o.Settings.Node, Incarnation: id.String(), Addr: o.Settings.PeerAddr(), Zone: o.Settings.Zone, Processor: o.Settings.Processor},
-		node:     proxy.New(proxy.Config{Zone: o.Settings.Zone, Budget: o.Settings.Budget}),
+		node: proxy.New(proxy.Config{
+			Zone: o.Settings.Zone, Budget: o.Settings.Budget, KeepDelay: keepDelay(o.Settings.Node),
+		}),
 		peers:    newPeers(),
 		streams:  make(map[infra.Stream]*streamState),
 		restored: make(chan struct{}, 1),
@@ -157,6 +163,7 @@
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
 	s.origins = newOrigins(s, o.Origins)
+	s.crashes = &crashLog{server: s}
 	context.AfterFunc(ctx, func() { s.owner.step(batch.Close{}) })
 	return s, nil
 }
@@ -193,6 +200,14 @@
 			s.origins.record(e.Record, e.Share)
 		case proxy.ShareOrigins:
 			s.origins.share(e.Service)
+		case proxy.CheckUpstream:
+			go s.checkUpstream(e.Upstream)
+		case proxy.ShareCases:
+			s.crashes.share(e.Cases)
+		case proxy.ForgetCases:
+			s.crashes.forget(e.Cases)
+		case proxy.PoisonChanged:
+			s.logger.Warn("parts of prompts that crash upstreams", "parts", e.Groups, "groups", len(e.Groups), "before", e.Before)
 		default:
 			rest = append(rest, e)
 		}
@@ -333,6 +348,9 @@
 	if reason == "" && s.join.Waits(s.uptime(), s.group) {
 		reason = "state of other nodes is not known yet"
 	}
+	if reason == "" && !s.casesKnown && s.uptime() < maxCasesWait {
+		reason = "parts of prompts that crash upstreams are not known yet"
+	}
 	s.mu.Unlock()
 	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -26,6 +26,7 @@
 	go s.followConfig()
 	go s.followUpstreams()
 	go s.followNodes()
+	go s.followCrashes()
 	go s.memberLoop()
 	go s.releaseLoop()
 	go s.sweepLoop()
@@ -273,6 +274,7 @@
 // sweepLoop closes stale idle connections.
 func (s *Server) sweepLoop() {
 	for s.sleep(sweepInterval) {
+		s.step(proxy.CasesTick{})
 		s.conns.sweep(func(id string, born int64) bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -28,6 +28,9 @@
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
+	// HeldBack means that the request is kept from upstreams, since a part of its prompt
+	// crashes them.
+	HeldBack Decision = "held back"
 	// AnswerBegan means that the first part of an answer arrived.
 	AnswerBegan Decision = "answer began"
 	// The final decisions: Answered means that the upstream's answer was complete,
@@ -49,7 +52,7 @@
 // All returns all decisions.
 func All() []Decision {
 	return []Decision{
-		Admitted, Sent, AttemptFailed, Retried, AttemptStalled, AttemptContinued, Awaited, StreamResumed, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
+		Admitted, Sent, AttemptFailed, Retried, AttemptStalled, AttemptContinued, Awaited, StreamResumed, HeldBack, StageDone, StageFailed, AnswerBegan, Answered, Replied, AnswerAborted, ClientLeft,
 		StageAdmitted, StageRefused, OwnerFailed,
 	}
 }
