Probe slow stage workers although others could do all pieces

A stage worker that was slow for a moment could stay unused for as long as the load was low. TestPauseInResponses/rank failed so (once in a run of all tests, and now once in 199 runs, three at once with GOMAXPROCS=1 under the race detector): encode-b had slowness 2.14, was idle, and its last response was 8.2 s old, while it counted as probed 380 ms before. All requests ran in the other zone, so rank-b, whose pause was over and which was neither slow nor suspect, got no work for 8 s.

The cause: workers got pieces in the order of the memory that results use at them, equal ones by id. A fast worker before the slow one took all pieces, and the slow worker's probe, which found none, still used up the probe interval. This repeated every 1.5 s.

Slow workers whose probe is due now come first, and a probe that finds no piece does not use up the interval. As before, a slow worker gets one piece per interval at most.

TestSlowWorkerStaysUnused/a2 (slowness still 3.6 after three intervals) and TestProbeWithoutPieces failed before this change. Not measured: the effect on a deployment with workers that stay slow, where at low load one piece per worker and interval now goes to them regardless of their ids.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -61,22 +61,23 @@
 	p.sweep()
 }
 
-// candidates returns the workers that can take a call or a probe now, ordered by the
-// memory that results use at them, least first.
+// candidates returns the workers that can take a call or a probe now. The slow ones come
+// first, as the others could leave no piece to probe them with. The others are ordered by
+// the memory that results use at them, least first.
 func (p *pool) candidates(now time.Time) []*worker {
 	usable := p.usable(now)
-	var idle []*worker
+	var slow, idle []*worker
 	for _, w := range p.workers {
-		if !w.idle(now) {
-			continue
+		switch {
+		case !w.idle(now):
+		case slices.Contains(usable, w):
+			idle = append(idle, w)
+		case now.Sub(w.lastProbeAt) >= probeInterval:
+			slow = append(slow, w)
 		}
-		if !slices.Contains(usable, w) && now.Sub(w.lastProbeAt) < probeInterval {
-			continue
-		}
-		idle = append(idle, w)
 	}
 	slices.SortStableFunc(idle, func(a, b *worker) int { return cmp.Compare(a.usedBytes, b.usedBytes) })
-	return idle
+	return append(slow, idle...)
 }
 
 // dispatchTo sends a worker one call of the pieces that are best done there. It reports
@@ -125,10 +126,10 @@
 // probe sends one piece to a worker that failed or was slow. The piece is of the job
 // that can wait longest.
 func (s *Scheduler) probe(now time.Time, p *pool, c *call) {
-	c.worker.lastProbeAt = now
 	space := c.worker.space(now)
 	for _, j := range slices.Backward(p.queue) {
 		if len(j.pending) > 0 && j.ResultBytes <= space {
+			c.worker.lastProbeAt = now
 			c.add(j)
 			s.send(now, p, c)
 			return
--- a/batch/harness_test.go
+++ b/batch/harness_test.go
@@ -123,6 +123,17 @@
 	return ref
 }
 
+// runJob runs a job of a few pieces to its end and releases its results.
+func (h *harness) runJob(name, zone string) {
+	h.t.Helper()
+	const pieces = 3
+	ref := h.submit(name, zone, pieces, time.Second)
+	h.run(callTime(testBatch, pieces))
+	h.wantDone(ref, pieces)
+	h.releaseAll()
+	h.run(freeInterval)
+}
+
 func (h *harness) wantDone(ref Ref, pieces int) {
 	h.t.Helper()
 	if got := len(h.done[ref]); got != pieces {
--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -265,6 +265,41 @@
 	}
 }
 
+// A worker that was slow for a moment must be probed even if the others could do all
+// pieces, and used again once it is as fast as they are.
+func TestSlowWorkerStaysUnused(t *testing.T) {
+	for _, slow := range []string{"a1", "a2"} {
+		t.Run(slow, func(t *testing.T) {
+			h := newHarness(t, "a1", "a2")
+			w := h.scheduler.worker(slow)
+			w.slowness = 2 * slowThreshold
+			for i := 0; h.now.Before(start.Add(3 * probeInterval)); i++ {
+				h.runJob(fmt.Sprint(i), "a")
+			}
+			if w.slowness >= slowThreshold {
+				t.Errorf("slowness after three probe intervals is %v, want less than %v", w.slowness, slowThreshold)
+			}
+		})
+	}
+}
+
+// A slow worker for which no piece is left must be probed with the next piece, not only
+// after another interval.
+func TestProbeWithoutPieces(t *testing.T) {
+	h := newHarness(t, "a1", "a2", "a3")
+	for _, slow := range []string{"a2", "a3"} {
+		h.scheduler.worker(slow).slowness = 2 * slowThreshold
+	}
+	for i, want := range []string{"a2", "a3", "a1"} {
+		h.submit(fmt.Sprint(i), "a", 1, 2*time.Second)
+		h.run(10 * time.Millisecond)
+		h.wantCalls(i + 1)
+		if got := h.sent[len(h.sent)-1].Worker.ID; got != want {
+			t.Errorf("call %d is to %s, want %s", i, got, want)
+		}
+	}
+}
+
 // Jobs that can be on time must go before a backlog of late jobs, which are done once
 // there is capacity.
 func TestLateWorkYields(t *testing.T) {
