Hold the other workers before a paused one must be used again

TestPauseInResponses required that the worker that got the most of the first four requests is used again after its pause, with all others free. That worker need not be the one that requests prefer: if the first call to the preferred one is slow, most of the four go to the other. The preferred worker recovers during the pause, and the other one is rightly not used afterwards.

Now the other workers of the service ask for a pause first, so that the worker must be used. It must also run work; before, the release of an old result was enough. What the old check covered by chance is now covered without chance: after its pause, a stage worker gets the jobs of its zone again at once (TestWorkerUnusedAfterPause), and an upstream that is as good as the others gets requests again (TestPauseOfUpstream).

The test also took the end of the refused request for the start of the pause. The start of the request is used instead, so the pause is not over before the test says so.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -275,6 +275,35 @@
 	}
 }
 
+// A worker whose pause is over must get the jobs of its zone again at once, and no job of
+// another zone whose own worker is free.
+func TestWorkerUnusedAfterPause(t *testing.T) {
+	for _, c := range []struct{ paused, zone, want string }{{"a1", "a", "a1"}, {"b1", "b", "b1"}, {"a1", "b", "b1"}, {"b1", "a", "a1"}} {
+		t.Run(c.paused+" with jobs of zone "+c.zone, func(t *testing.T) {
+			const pause = 1500 * time.Millisecond
+			h := newHarness(t, "a1", "b1")
+			end := h.now.Add(pause)
+			h.step(Held{Worker: c.paused, Until: end})
+			for i := 0; h.now.Before(end); i++ {
+				h.runJob(fmt.Sprint("during", i), c.zone)
+			}
+			during := len(h.sent)
+			for i := range 5 {
+				h.runJob(fmt.Sprint("after", i), c.zone)
+			}
+			for i, call := range h.sent {
+				if i < during && call.Worker.ID == c.paused {
+					t.Errorf("call %d is to %s, which is paused", i, c.paused)
+				}
+				if i >= during && call.Worker.ID != c.want {
+					t.Errorf("call %d, after the pause, is to %s, want %s", i, call.Worker.ID, c.want)
+				}
+			}
+			h.wantCalls(during + 5)
+		})
+	}
+}
+
 // A worker process that replaces another under the same id and address starts without the
 // failures, the pause, the slowness and the results of the earlier one.
 func TestReplacedWorker(t *testing.T) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -411,6 +411,10 @@
 		if h.now = h.now.Add(pause); !h.node.Usable(h.now, first.Upstream.ID, 1) {
 			t.Error("upstream is not usable after its pause")
 		}
+		h.arrive("/safe/x")
+		if got := find[Send](h).Upstream.ID; got != first.Upstream.ID {
+			t.Errorf("request after the pause went to %s, want the idle %s", got, first.Upstream.ID)
+		}
 	})
 	t.Run("a shorter pause does not end a longer one", func(t *testing.T) {
 		h := newHarness(t)
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -67,7 +67,8 @@
 }
 
 // A worker that refuses with a time to retry must get nothing from this node until then:
-// no requests, stage calls, releases or reports.
+// no requests, stage calls, releases or reports. After that it must get work as soon as
+// it is the only worker that accepts some.
 func TestPauseInResponses(t *testing.T) {
 	const pause = 1500 * time.Millisecond
 	for _, service := range services {
@@ -77,12 +78,14 @@
 			id := d.preferred(service)
 			d.workers[id].Hold(pause)
 			before := d.workers[id].Arrivals()
+			var refused time.Time
 			d.await("the worker has refused a request", func() bool {
+				// The pause begins at the refusal, and the answer may come much later.
+				refused = time.Now()
 				d.ask(n, stand.PathSafe)
 				d.ask(n, stand.PathStream)
 				return d.workers[id].Arrivals() > before
 			})
-			refused := time.Now()
 			time.Sleep(50 * time.Millisecond)
 			before = d.workers[id].Arrivals()
 			for time.Since(refused) < pause-200*time.Millisecond {
@@ -92,12 +95,24 @@
 			if got := d.workers[id].Arrivals() - before; got > 0 {
 				t.Errorf("%d requests reached the worker during its pause", got)
 			}
+			runs := d.workers[id].TotalRuns()
 			d.workers[id].Hold(0)
+			d.holdOthers(id)
 			d.await("the worker is used again", func() bool {
 				d.ask(n, stand.PathSafe)
 				d.ask(n, stand.PathStream)
-				return d.workers[id].Arrivals() > before
+				return d.workers[id].TotalRuns() > runs
 			})
 		})
 	}
 }
+
+// holdOthers makes the other workers of a worker's service refuse all requests and ask for
+// a pause that outlasts the test.
+func (d *deployment) holdOthers(id string) {
+	for _, w := range d.workers {
+		if w.ID != id && w.Service == d.workers[id].Service {
+			w.Hold(time.Minute)
+		}
+	}
+}
