Say in ordinary terms what comments of relay, proxy and batch mean

Comments said that a node "knows" upstreams or versions, that a stream "goes on", that an upstream is "sound" or cannot be "heard", or that a result was "brought". They now say what is stored, received, continued or healthy. Several also name what was left open: which result OriginFound reports, what an empty reason of returnToStalled means, what Scheduler does before SetWorkers, and that pauseLeft is the time until the first pause ends.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -16,8 +16,8 @@
 	"teaselplank/queue"
 )
 
-// A Scheduler is the state of the reducer. The zero value is ready to use; it refuses jobs
-// as not their owner until SetWorkers.
+// A Scheduler is the state of the reducer. The zero value is ready to use. Until the first
+// SetWorkers, it refuses all jobs with ReasonNotOwner.
 type Scheduler struct {
 	// configured is true once the services and workers were set.
 	configured bool
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -341,7 +341,7 @@
 	h.wantRefused(h.submit("later", "a", 2, time.Second), ReasonNotOwner)
 }
 
-// Workers that cannot be heard for a moment must not make those of their zone unusable.
+// Workers that do not respond for a moment must not make others of their zone unusable.
 func TestSilentWorkerTakesItsZoneAlong(t *testing.T) {
 	t.Run("others run the next job", func(t *testing.T) {
 		h := newHarness(t, "a1", "a2", "a3")
--- a/batch/event.go
+++ b/batch/event.go
@@ -70,15 +70,15 @@
 	ReasonLate Reason = "stage cannot finish in time"
 	// ReasonNoWorker means that the service has no usable worker.
 	ReasonNoWorker Reason = "stage has no worker"
-	// ReasonUnknownService means that this owner does not know the service. A node with
-	// a newer configuration does.
+	// ReasonUnknownService means that the service is not in this owner's configuration.
+	// It may be in a newer one that another node has.
 	ReasonUnknownService Reason = "stage service is not known"
 	// ReasonInputLost means that an input is lost: the preceding stages must run again.
 	ReasonInputLost Reason = "stage input is gone"
 	// ReasonFailed means that too many pieces of the job failed at workers.
 	ReasonFailed Reason = "stage failed"
 	// ReasonNotOwner means that another node now owns the service, or that this one
-	// does not know the services and workers yet.
+	// has not received the services and workers yet.
 	ReasonNotOwner Reason = "stage is owned by another node"
 )
 
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -93,7 +93,8 @@
 	return fast
 }
 
-// pauseLeft returns how long all workers want no calls, or 0 if one of them accepts some.
+// pauseLeft returns the time until the first pause of a worker ends, or 0 if a worker has
+// no pause.
 func (p *pool) pauseLeft(now time.Time) time.Duration {
 	var pauses []health.Pause
 	for _, w := range p.workers {
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -25,15 +25,15 @@
 	// it that other requests share.
 	PromptTokens int
 	SharedPrefix string
-	// Pieces is the number of pieces of each stage. PieceKey tells the workers of
-	// the stages without inputs what to work on.
+	// Pieces is the number of pieces of each stage. PieceKey
+	// identifies the work of the stages without inputs to their workers.
 	Pieces   []int
 	PieceKey string
 	// LastEventID is the ID of the last event that the client has received if it
 	// resumes a stream, or empty.
 	LastEventID string
-	// Resumes is the ID of the attempt that brought the first event of the stream that
-	// the client resumes, or empty.
+	// Resumes is the ID of the attempt whose response had the first event of the stream
+	// that the client resumes, or empty.
 	Resumes string
 }
 
@@ -43,7 +43,7 @@
 type (
 	// RequestArrived reports a new client request.
 	RequestArrived struct{ Request Request }
-	// OriginFound reports what the node knows about the stream that a client resumes.
+	// OriginFound reports the result of FindOrigin.
 	OriginFound struct {
 		Number uint64
 		// Source is OriginUnknown if there is no record of the stream. Age is the time
@@ -201,8 +201,8 @@
 	// ResponseMismatch means that the response belongs to another request or is not
 	// valid.
 	ResponseMismatch Failure = "crossed"
-	// ResponseTimeout means that the connection timed out after the request was sent: the
-	// upstream's host could not be heard.
+	// ResponseTimeout means that the connection timed out after the request was sent:
+	// nothing arrived from the upstream's host.
 	ResponseTimeout Failure = "silent"
 	// ResponseTooLong means that the response exceeded a bound, as one without end does.
 	ResponseTooLong Failure = "overlong"
@@ -241,7 +241,7 @@
 		// Deadline is the time after which the response is of no use.
 		Deadline time.Time
 		// StallAfter is how long the head of the response may take before AttemptStalled
-		// is to be reported; 0 means as long as it likes.
+		// is to be reported; 0 means that it is not limited.
 		StallAfter time.Duration
 	}
 	// Deliver requests that the response of an attempt be forwarded to the client.
@@ -249,8 +249,8 @@
 		Number  uint64
 		Attempt int
 	}
-	// Cancel requests that an attempt be ended, since the response of another one goes
-	// on.
+	// Cancel requests that an attempt be ended, since the response of another one
+	// continues.
 	Cancel struct {
 		Number  uint64
 		Attempt int
@@ -280,21 +280,21 @@
 		Number   uint64
 		Deadline time.Time
 	}
-	// FindOrigin requests the record of the stream that a client resumes, whose first
-	// event came in answer to the attempt ID.
+	// FindOrigin requests the record of the stream that a client resumes. ID is that of
+	// the attempt whose response had the first event. OriginFound reports the result.
 	FindOrigin struct {
 		Number  uint64
 		ID      string
 		Service string
 	}
-	// RecordOrigin requests that the version that a stream is sent to be remembered, and
-	// be shared with the other nodes if Share is true.
+	// RecordOrigin requests that the version that a stream is sent to be recorded, and
+	// that the record be shared with the other nodes if Share is true.
 	RecordOrigin struct {
 		Record origin.Record
 		Share  bool
 	}
-	// ShareOrigins requests that all remembered versions of the streams of a service be
-	// shared with the other nodes.
+	// ShareOrigins requests that the records of all streams of a service be shared with
+	// the other nodes.
 	ShareOrigins struct{ Service string }
 	// RecordDecision requests that a decision be logged and counted.
 	RecordDecision struct{ Record DecisionRecord }
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -7,12 +7,13 @@
 	"teaselplank/origin"
 )
 
-// OriginSource says how a node knows which version began a stream.
+// OriginSource is the source from which a node has the software version that began a
+// stream.
 type OriginSource string
 
 // The sources of origins.
 const (
-	// OriginUnknown means that the node does not know the version.
+	// OriginUnknown means that the version is unknown.
 	OriginUnknown OriginSource = ""
 	// OriginAnswer means that the stream began in the answer of the request itself.
 	OriginAnswer OriginSource = "answer"
@@ -24,8 +25,8 @@
 	OriginOnly OriginSource = "only version"
 )
 
-// A streamOrigin is what a node knows about the software version that began a stream. The
-// zero value knows nothing.
+// A streamOrigin is the software version that began a stream. The zero value means that the
+// version is unknown.
 type streamOrigin struct {
 	version string
 	source  OriginSource
@@ -33,8 +34,8 @@
 	learned time.Time
 }
 
-// allows reports whether an upstream may go on with the stream. Events of different
-// versions do not fit together.
+// allows reports whether an upstream may continue the stream. All events of a stream must
+// be of one version.
 func (o streamOrigin) allows(u *upstream) bool {
 	return o.source == OriginUnknown || u.Version == o.version
 }
--- a/proxy/origin_test.go
+++ b/proxy/origin_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Guards against a stream that goes on at another version than the one that began it.
+// Guards against continuing a stream with another version than the one that began it.
 func TestStreamOfTwoVersions(t *testing.T) {
 	t.Run("goes on at its version", func(t *testing.T) {
 		h := newHarness(t)
@@ -172,8 +172,8 @@
 	})
 }
 
-// Nodes that a client may resume at know the versions of streams only from records, which
-// cost a call each, so that they are made only while a service has several versions.
+// Other nodes, at which a client may resume a stream, have its version only from a record.
+// A record costs a call, so records are made only while a service has several versions.
 func TestRecordsOfOrigins(t *testing.T) {
 	wantRecord := func(t *testing.T, h *harness, attempt int, share bool) {
 		t.Helper()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// pauseLeft returns how long all upstreams that a request may be sent to want no
-// requests, or 0 if one of them accepts some.
+// pauseLeft returns the time until the first pause of the upstreams that a request may be
+// sent to ends, or 0 if one of them has no pause.
 func (p *pool) pauseLeft(now time.Time, r *request) time.Duration {
 	var pauses []health.Pause
 	for _, u := range p.upstreams {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -443,7 +443,7 @@
 	})
 }
 
-// Upstreams that cannot be heard for a moment must not make the sound ones of their zones
+// Upstreams that do not respond for a moment must not make the healthy ones of their zones
 // unusable, if no other upstream is left.
 func TestSilentUpstreamsTakeTheirZonesAlong(t *testing.T) {
 	var upstreams []fleet.Upstream
@@ -458,7 +458,7 @@
 		h.arrive("/unsafe/1")
 	}
 	sent := h.number
-	// Each of the three requests is at an upstream in a zone of its own that cannot be heard.
+	// Each of the three requests is at an upstream in a zone of its own that does not respond.
 	for i, zone := range []string{"a", "b", "c"} {
 		r := h.node.requests[sent-uint64(i)]
 		h.node.endAttempt(r, r.current)
--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -19,20 +19,21 @@
 	return q.ID
 }
 
-// findOrigin looks for the version that began the stream that a client resumes, also if
-// the service seems to have had only one: another node may have seen a new one earlier.
+// findOrigin requests the version that began the stream that a client resumes, even if
+// this node has seen only one version of the service: another node may have seen a new one
+// earlier.
 func (n *Node) findOrigin(r *request) {
 	r.findingOrigin = true
 	n.emit(FindOrigin{Number: r.Number, ID: r.Resumes, Service: r.service})
 }
 
-// maxViewAge is the age from which the node's view of the upstreams may lack a version that
-// others have begun streams at.
+// maxViewAge is the age above which the node's view of the upstreams may lack a version
+// with which other nodes have begun streams.
 const maxViewAge = 3 * time.Second
 
-// onlyVersion returns the version of a service if the streams that clients may still
-// resume can have begun at no other. What was gone before the node's start, it knows only
-// from the records of all nodes.
+// onlyVersion returns the version of a service if all streams that clients may still resume
+// began with it. Versions that were removed before the node started are only in the records
+// of all nodes.
 func (n *Node) onlyVersion(now time.Time, service string, found OriginFound) (string, bool) {
 	ownView := n.versions.Watched(now) >= origin.Window && found.ViewAge <= maxViewAge
 	if !ownView && !found.Complete {
@@ -45,8 +46,8 @@
 	return versions[0], true
 }
 
-// versionsOf returns the versions that a service has had lately by this node's view and by
-// the records that were found.
+// versionsOf returns the versions that a service has had recently according to this node's
+// view and to the records that were found.
 func (n *Node) versionsOf(now time.Time, service string, found OriginFound) []string {
 	versions := append(n.versions.Recent(now, service), found.Versions...)
 	slices.Sort(versions)
@@ -75,8 +76,8 @@
 	n.reply(now, r, http.StatusServiceUnavailable, ReasonUnknownOrigin, upstreamRetryAfter)
 }
 
-// resume goes on with a stream at the version that began it, or refuses it at once if no
-// upstream of the version is left.
+// resume continues a stream at an upstream of the version that began it, or refuses it at
+// once if no such upstream is left.
 func (n *Node) resume(now time.Time, r *request, o streamOrigin) {
 	r.origin = o
 	n.recordSince(now, r.arrived, r, trace.StreamResumed, "", append(o.attrs(now), "first", r.Resumes, "last_event", r.LastEventID)...)
@@ -87,8 +88,8 @@
 	n.start(now, r)
 }
 
-// hasUpstream reports whether an upstream is registered that may go on with the stream of
-// a request, even if it cannot take a request now.
+// hasUpstream reports whether an upstream is registered that may continue the stream of a
+// request, even if it cannot take a request now.
 func (n *Node) hasUpstream(r *request) bool {
 	p := n.pools[r.service]
 	return p != nil && slices.ContainsFunc(p.upstreams, func(u *upstream) bool { return !u.Draining && r.origin.allows(u) })
--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -46,7 +46,7 @@
 	h.now = h.now.Add(origin.Window)
 }
 
-// Guards against a client's resumed stream that goes on at a version that did not begin
+// Guards against continuing a client's resumed stream with a version that did not begin
 // it, and against refusing one that can go on.
 func TestResumedByClient(t *testing.T) {
 	t.Run("only version of a host that cannot read", func(t *testing.T) {
--- a/proxy/stall.go
+++ b/proxy/stall.go
@@ -7,9 +7,9 @@
 )
 
 // attemptStalled makes another attempt at a request whose upstream is silent, if the
-// request may be retried. The upstream may be sound and go on, so the stalled attempt
-// stays open meanwhile: the one whose response goes on first is chosen, and if the other
-// attempt fails, or its stages do, the request returns to the stalled one.
+// request may be retried. The upstream may be healthy and resume sending, so the stalled
+// attempt stays open. The attempt whose response continues first is chosen. If the
+// other attempt or its stages fail, the request returns to the stalled one.
 func (n *Node) attemptStalled(now time.Time, e AttemptStalled) {
 	r := n.requests[e.Number]
 	a := r.find(e.Attempt)
@@ -41,7 +41,7 @@
 	n.choose(r, a)
 }
 
-// choose keeps an attempt, whose response goes on, and cancels the other one, if any.
+// choose keeps an attempt whose response continues, and cancels the other one, if any.
 func (n *Node) choose(r *request, a *attempt) {
 	if a == r.stalled {
 		n.cancel(r, r.current)
@@ -65,8 +65,8 @@
 	n.endAttempt(r, a)
 }
 
-// returnToStalled makes the stalled attempt the current one again, after no other attempt
-// could take its place for the given reason or because it goes on.
+// returnToStalled makes the stalled attempt the current one again. The reason says why no
+// other attempt could replace it; it is empty if the stalled attempt has continued.
 func (n *Node) returnToStalled(r *request, reason Reason) {
 	n.withdraw(r)
 	a := r.stalled
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// deliver lets an attempt pass its answer on.
+// deliver lets an attempt forward its answer to the client.
 func (x *exchange) deliver(number int) {
 	t := x.attempts[number]
 	if t == nil {
--- a/relay/body.go
+++ b/relay/body.go
@@ -17,7 +17,7 @@
 )
 
 // A bodyPool bounds the memory for the bodies of answers, which are read whole before
-// they are passed on. The zero value is empty.
+// they are forwarded. The zero value is empty.
 type bodyPool struct {
 	// extraChunks is the number of chunks in use beyond the first of each body. It
 	// exceeds maxExtraChunks only for a moment in acquire.
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -42,7 +42,7 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed. On Linux it also replaces the number of keep-alive probes: a
 	// connection ends when this time has passed since its last bytes. Like keepAlive, it
-	// tolerates that a sound upstream cannot be heard for a few seconds.
+	// tolerates that nothing arrives from a healthy upstream for a few seconds.
 	unackedTimeout = 6 * time.Second
 	// defaultKeepAlive is how long an idle connection stays usable if its upstream
 	// sends no Keep-Alive timeout. A timeout that it sends is shortened by
--- a/relay/lookup.go
+++ b/relay/lookup.go
@@ -37,8 +37,8 @@
 	}()
 }
 
-// find looks for the record of a stream: in the node's own memory, then in the records
-// of all nodes.
+// find looks up the record of a stream: first among the streams that this node has sent,
+// then in the records of all nodes.
 func (o *origins) find(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound {
 	found, ok := o.recordOf(e, &o.own, proxy.OriginOwn)
 	if ok {
@@ -62,7 +62,7 @@
 	return found
 }
 
-// recordOf returns the record of a stream in a memory.
+// recordOf returns the record of a stream from a memory, if it is there.
 func (o *origins) recordOf(e proxy.FindOrigin, m *origin.Memory, source proxy.OriginSource) (proxy.OriginFound, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -132,8 +132,8 @@
 	return read, true
 }
 
-// readAll reads the records from the last position on to the end of the log. A read that
-// fails goes on where it stopped the next time.
+// readAll reads the records from the last position on to the end of the log. After
+// a failure, the next read continues from the last position.
 func (o *origins) readAll(ctx context.Context) error {
 	o.observeEpoch(o.server.storeEpoch())
 	for {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -107,8 +107,8 @@
 
 func (m *metrics) countInvalid(kind string) { m.invalidRecords.WithLabelValues(kind).Inc() }
 
-// countShared counts records of streams that were appended to the log of origins, failed
-// to be, or were given up.
+// countShared counts records of streams by whether they were appended to the log of
+// origins, could not be appended, or were discarded.
 func (m *metrics) countShared(result string, records int) {
 	m.originsShared.WithLabelValues(result).Add(float64(records))
 }
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -20,7 +20,7 @@
 )
 
 // followNodes writes the node's entry to the store and reads those of the others. Nodes
-// that know each other share everything else by gossip.
+// that have read each other's entries share everything else by gossip.
 func (s *Server) followNodes() {
 	pause := minNodesPause
 	announced := false
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// resume goes on with a broken stream at a node. As clients do, it waits and tries again
+// resume resumes a broken stream at a node. As clients do, it waits and tries again
 // after a refusal.
 func (d *deployment) resume(n *testNode, s brokenStream) result {
 	const tries = 6
@@ -199,7 +199,7 @@
 }
 
 // Guards against a host at which clients resume streams that a lost host had begun, and
-// which goes on at an engine of another version or refuses them all.
+// which continues them at an engine of another version or refuses them all.
 func TestResumedAtAnotherVersionByClient(t *testing.T) {
 	const streams = 16
 	d := deploy(t, 2, setVersion, func(w *stand.Worker) {
@@ -226,7 +226,7 @@
 	resumed.Wait()
 }
 
-// Guards against going on with a stream of which no host knows the version.
+// Guards against resuming a stream whose version no host has recorded.
 func TestUnknownOrigin(t *testing.T) {
 	resume := func(d *deployment) result {
 		return d.ask(d.nodes[0], stand.PathStream, func(r *http.Request) { stand.SetResume(r, "lost", "1") })
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -18,28 +18,28 @@
 	// that wait for one.
 	maxRecordsPerAppend = 256
 	maxPendingRecords   = 8 << 10
-	// maxOwnOrigins bounds the streams that a node remembers to have sent, and
-	// maxSharedOrigins those of other nodes.
+	// maxOwnOrigins bounds the records of streams that a node has sent, and
+	// maxSharedOrigins those of streams of other nodes.
 	maxOwnOrigins    = 16 << 10
 	maxSharedOrigins = 64 << 10
 )
 
-// origins holds the versions that streams began at, and shares them with the other nodes.
+// origins records which software version began each stream, and shares the records with
+// the other nodes.
 type origins struct {
 	server *Server
 	// log is nil if the versions are not shared.
 	log infra.OriginLog
 
 	mu sync.Mutex
-	// own holds the streams that this node has sent.
+	// own holds the records of the streams that this node has sent.
 	own origin.Memory
 	// pending holds the records that are not yet in the log. sharing is true while a
 	// goroutine appends them: only one does, so that they are appended in order.
 	pending []origin.Record
 	sharing bool
-	// shared holds the streams that other nodes have recorded, and versions those of
-	// their services. Their records were read up to the offset next in the store of epoch
-	// epoch.
+	// shared holds the records of other nodes, and versions the versions that they name
+	// by service. The log was read up to the offset next in the store of epoch epoch.
 	shared   origin.Memory
 	versions origin.Versions
 	next     int64
@@ -52,7 +52,7 @@
 	return &origins{server: s, log: log, own: origin.Memory{Limit: maxOwnOrigins}, shared: origin.Memory{Limit: maxSharedOrigins}}
 }
 
-// record remembers the version that a stream was sent to, and shares it if necessary.
+// record records the version that a stream was sent to, and shares it if necessary.
 func (o *origins) record(r origin.Record, share bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -64,14 +64,14 @@
 	}
 }
 
-// share shares all remembered streams of a service.
+// share shares the records of all streams of a service that this node has sent.
 func (o *origins) share(service string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.enqueue(o.own.Of(o.server.now(), service)...)
 }
 
-// enqueue adds records to the next append. The oldest are given up if there are too many.
+// enqueue adds records to the next append. The oldest are discarded if there are too many.
 // The lock must be held.
 func (o *origins) enqueue(records ...origin.Record) {
 	if o.log == nil || len(records) == 0 {
@@ -115,7 +115,7 @@
 	return true
 }
 
-// nextBatch takes the oldest pending records that are still of use. If there is none, the
+// nextBatch takes the oldest pending records that have not expired. If there is none, the
 // goroutine that appends ends.
 func (o *origins) nextBatch() []origin.Record {
 	o.mu.Lock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -220,7 +220,7 @@
 	return &peerpb.StateReply{Rules: document, Hosts: hosts}, nil
 }
 
-// A peerState is what a node knows of the upstreams.
+// A peerState is a node's view of the upstreams, as it is sent to other nodes.
 type peerState struct {
 	Upstreams []fleet.Upstream
 	Removed   []fleet.Removal
@@ -309,9 +309,8 @@
 	s.memberStep(member.DigestReceived{Digest: member.DigestFromMessage(m)})
 }
 
-// fetchState fetches the configuration and the upstreams that another node knows. It
-// applies the configuration if it is newer, and the upstreams while the store cannot be
-// read.
+// fetchState fetches the configuration and the upstreams from another node. It applies the
+// configuration if it is newer, and the upstreams while the store cannot be read.
 func (s *Server) fetchState(addr string) {
 	defer func() {
 		s.mu.Lock()
@@ -339,8 +338,8 @@
 	s.mergeState(state)
 }
 
-// mergeState removes upstreams that another node knows to be gone, and adds those that it
-// knows unless they can be read from the store.
+// mergeState merges the upstreams of another node: it removes those that the node has
+// removed, and adds the others unless they can be read from the store.
 func (s *Server) mergeState(state peerState) {
 	s.mu.Lock()
 	s.join.Finish()
@@ -355,7 +354,7 @@
 	}
 }
 
-// putUpstreams adds upstreams that another node knows and reports whether that changes
+// putUpstreams adds upstreams received from another node and reports whether that changes
 // the directory. The lock must be held.
 func (s *Server) putUpstreams(upstreams []fleet.Upstream) bool {
 	changed := false
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -13,7 +13,7 @@
 
 // The store comes back from a copy: an upstream that has left is registered again, one
 // that came later is missing, the configuration is older, and offsets are given out again.
-// Nothing that was gone may be in use again, and nothing sound may be dropped.
+// No removed upstream may be used again, and no healthy one may be dropped.
 func TestRestoredStore(t *testing.T) {
 	d := deploy(t, 1)
 	n := d.nodes[0]
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -24,7 +24,7 @@
 // untilArmed is longer than it takes to arm a new timer.
 const untilArmed = time.Hour
 
-// restart begins to measure anew, with another limit.
+// restart starts the measurement again, with another limit.
 func (s *silenceTimer) restart(limit time.Duration) {
 	s.limit, s.since, s.reported = limit, time.Now(), false
 	s.arm()
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,8 +19,9 @@
 // cannot be reached.
 const maxOwnerAttempts = 3
 
-// runStage runs a job and returns its outcome. If no owner runs it or knows its service,
-// this node does: it admitted the request, so it knows the service and its workers.
+// runStage runs a job and returns its outcome. If no owner runs it, or the owner's
+// configuration lacks its service, this node runs the job itself: it admitted the request,
+// so it has the service and its workers.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) proxy.Event {
 	outcome := s.runAtOwners(ctx, number, job)
 	if ctx.Err() != nil || outcome != nil && !failedFor(outcome, batch.ReasonUnknownService) {
@@ -71,7 +72,7 @@
 	}
 	e := s.owner.run(ctx, job)
 	if refused, ok := e.(batch.Refused); ok && refused.Reason == batch.ReasonNotOwner {
-		return nil, false // This node is leaving, or does not know the workers yet.
+		return nil, false // This node is leaving, or has not read the workers yet.
 	}
 	return stageEvent(number, job, e), true
 }
@@ -128,7 +129,7 @@
 }
 
 // runRemote runs a job at another node. It returns false if the node could not be
-// reached, became unresponsive, is leaving or does not know the workers yet, or if the
+// reached, became unresponsive, is leaving or has not read the workers yet, or if the
 // outer context has ended.
 func (s *Server) runRemote(outer context.Context, node member.Node, number uint64, job batch.Job) (event proxy.Event, ok bool) {
 	ctx, cancel := context.WithCancel(outer)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -9,7 +9,7 @@
 	"teaselplank/platform/stand"
 )
 
-// Streams that are slow but sound must not be cut, and stalled ones must end, also if
+// Streams that are slow but healthy must not be cut, and stalled ones must end, even if
 // they send a byte now and then.
 func TestSlowAndStalledStreams(t *testing.T) {
 	const slow = 1300 * time.Millisecond // longer than streamIdleTimeout
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -51,7 +51,7 @@
 }
 
 // A configuration is the operator's configuration and the document that it was parsed
-// from. The zero value is that of a node that knows none.
+// from. The zero value means that the node has not received one.
 type configuration struct {
 	document []byte
 	table    *fleet.Table
