Show that answers that end with their connections are told apart from broken ones

Answers may come with neither a length nor chunks. With all workers answering so, the stages' workers included, whole answers of each kind reach the client whole and with a length or chunks. Streams that are closed inside an event or reset, and bodies that are reset, go on elsewhere where they may be repeated; the others reach the client as 502 or cut off.

go test -race -run CloseDelimited ./relay, go test -race -count=3 ./platform/stand

--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -187,7 +187,10 @@
 	body   string
 	// closes is true if the answer says that the connection is closed after it.
 	closes bool
-	err    error
+	// delimited is true if the answer has a length or chunks, so that its end can be told
+	// from that of its connection.
+	delimited bool
+	err       error
 }
 
 // ask sends a request with a new id to a node and returns the answer.
@@ -211,7 +214,10 @@
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
-	return result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), closes: answer.Close, err: err}
+	return result{
+		id: id, status: answer.StatusCode, header: answer.Header, body: string(body), closes: answer.Close,
+		delimited: answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0, err: err,
+	}
 }
 
 func wantStatus(t *testing.T, r result, status int) {
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -73,7 +73,7 @@
 func wantWhole(t *testing.T, r result, path string) {
 	t.Helper()
 	want := "answer to " + r.id
-	if path == stand.PathStream {
+	if isStreamPath(path) {
 		want = allEvents
 	}
 	if r.err != nil || r.status != http.StatusOK || r.body != want {
