Show that a stream without any event can end like a complete one

A worker that crashes after the head of its answer closes the connection. Where the answer has neither a length nor chunks, that is all that the relay sees: it ends the client's answer as a complete 200 with an empty body, and does not try another worker, although the stream could be repeated.

The tests of broken answers now vary the prompt, and check that a faulty worker was met: without that, the other engine could be asked each time.

--- a/relay/framing_test.go
+++ b/relay/framing_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -47,14 +48,15 @@
 			d := deploy(t, 1, closeDelimited)
 			d.workers["desk-a"].SetFault(c.fault)
 			d.workers["engine-a"].SetFault(c.fault)
-			for range 6 {
-				r := d.ask(d.nodes[0], c.path)
+			for i := range 6 {
+				r := d.askAbout(i, c.path)
 				if c.path == stand.PathStream || c.path == stand.PathSafe {
 					wantWhole(t, r, c.path)
 					continue
 				}
 				wantWholeOrBroken(t, r, c.path)
 			}
+			wantUsed(t, d.workers["desk-a"], d.workers["engine-a"])
 		})
 		t.Run(c.name+" by all workers", func(t *testing.T) {
 			d := deploy(t, 1, closeDelimited)
@@ -67,6 +69,59 @@
 	}
 }
 
+// A stream of a worker that crashed after its head must not end like a complete one: without
+// a length or chunks, nothing but the first event shows that there is an answer.
+func TestStreamWithoutEventLooksComplete(t *testing.T) {
+	start := func(t *testing.T, broken ...string) *deployment {
+		t.Helper()
+		d := deploy(t, 1, closeDelimited)
+		for _, id := range broken {
+			d.workers[id].SetFault(stand.FaultEndStream)
+		}
+		return d
+	}
+	t.Run("resumable, by one worker", func(t *testing.T) {
+		d := start(t, "engine-a")
+		for i := range 6 {
+			wantWhole(t, d.askAbout(i, stand.PathStream), stand.PathStream)
+		}
+		wantUsed(t, d.workers["engine-a"])
+	})
+	t.Run("not resumable, by one worker", func(t *testing.T) {
+		d := start(t, "engine-a")
+		for i := range 6 {
+			r := d.askAbout(i, stand.PathOnce)
+			wantWholeOrBroken(t, r, stand.PathOnce)
+			d.wantRuns(r.id, stand.ServiceEngine, 1, 1)
+		}
+		wantUsed(t, d.workers["engine-a"])
+	})
+	for _, path := range []string{stand.PathStream, stand.PathOnce} {
+		t.Run(path+" by all workers", func(t *testing.T) {
+			d := start(t, "engine-a", "engine-b")
+			wantBroken(t, d.ask(d.nodes[0], path), path)
+		})
+	}
+}
+
+// askAbout sends a request with the prompt of a number, as the prompt decides which engine
+// is asked first.
+func (d *deployment) askAbout(number int, path string) result {
+	return d.ask(d.nodes[0], path, func(r *http.Request) { stand.SetPrefix(r, fmt.Sprint("p", number)) })
+}
+
+// wantUsed checks that at least one of some faulty workers ran a request, as the test shows
+// nothing otherwise.
+func wantUsed(t *testing.T, workers ...*stand.Worker) {
+	t.Helper()
+	for _, w := range workers {
+		if w.TotalRuns() > 0 {
+			return
+		}
+	}
+	t.Error("no request met a faulty worker; the test shows nothing")
+}
+
 // wantBroken checks that the client can tell that an answer is not the whole one.
 func wantBroken(t *testing.T, r result, path string) {
 	t.Helper()
