Treat a stream that ends with its connection before any event as broken off

An empty stream with neither a length nor chunks reached the client as a complete 200. The reader of events could not tell the close of a crashed worker from an end. Such a stream now has to have an event, so that its attempt counts as failed before anything is sent to the client: it is tried elsewhere if it may be, and ends with 502 otherwise. A stream that is resumed may still be empty, as there may be no event left.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,6 +127,8 @@
 func (t *attempt) readEvents() {
 	x := t.exchange
 	events := newEventReader(t.response.Body, t.send.LastEventID)
+	// A resumed stream may have no event left.
+	events.needsEvent = endsWithConnection(t.response) && t.send.LastEventID == ""
 	for {
 		data, id, err := events.next()
 		if err != nil {
@@ -143,6 +145,12 @@
 	}
 }
 
+// endsWithConnection reports whether an answer has neither a length nor chunks. Its end then
+// looks the same as a connection that its upstream closed too early.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // readBody passes the body on once it is complete.
 func (t *attempt) readBody() {
 	x := t.exchange
--- a/relay/events.go
+++ b/relay/events.go
@@ -17,8 +17,10 @@
 	// held is the length of the blocks at the start of the buffer that are no events.
 	held int
 	// after is the number of the last event to skip, or -1.
-	after   int64
-	readErr error
+	after int64
+	// needsEvent is true while the stream would be truncated if it ended without an event.
+	needsEvent bool
+	readErr    error
 }
 
 func newEventReader(r io.Reader, last string) *eventReader {
@@ -40,6 +42,7 @@
 var (
 	errEventTooLong   = fmt.Errorf("read event: %w", errResponseTooLong)
 	errEventTruncated = errors.New("stream ends within an event")
+	errNoEvent        = errors.New("stream ends with its connection and without an event")
 )
 
 // next returns the next whole events and the id of the last of them. It returns
@@ -49,7 +52,7 @@
 		if data, id = e.cutEvents(); len(data) > 0 {
 			return data, id, nil
 		}
-		if e.readErr == io.EOF && e.held > 0 {
+		if e.readErr == io.EOF && e.held > 0 && !e.needsEvent {
 			return e.cut(e.held), "", nil
 		}
 		if e.readErr != nil {
@@ -66,10 +69,15 @@
 }
 
 func (e *eventReader) endError() error {
-	if e.readErr == io.EOF && len(bytes.TrimSpace(e.buffer)) > 0 {
+	switch {
+	case e.readErr != io.EOF:
+		return e.readErr
+	case e.needsEvent:
+		return errNoEvent
+	case len(bytes.TrimSpace(e.buffer)) > 0:
 		return errEventTruncated
 	}
-	return e.readErr
+	return io.EOF
 }
 
 var (
@@ -89,6 +97,7 @@
 			e.held = len(e.buffer) - len(rest)
 			continue
 		}
+		e.needsEvent = false
 		event := e.cut(len(e.buffer) - len(rest))
 		ownID := eventID(block)
 		if number, err := strconv.ParseInt(ownID, 10, 64); err == nil && number <= e.after {
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -58,6 +58,32 @@
 	}
 }
 
+// A stream that ends with its connection must not end without an event, whatever else it has.
+func TestNoEvent(t *testing.T) {
+	for _, c := range []struct {
+		stream, want string
+		err          error
+	}{
+		{"", "", errNoEvent},
+		{": c\n\n", "", errNoEvent},
+		{"id: 1", "", errNoEvent},
+		{": c\n\nid: 1\ndata: a\n\n", ": c\n\nid: 1\ndata: a\n\n", io.EOF},
+		{"data: a\n\n: c\n\n", "data: a\n\n: c\n\n", io.EOF},
+		{"data: a\n\nda", "data: a\n\n", errEventTruncated},
+	} {
+		e := newEventReader(strings.NewReader(c.stream), "")
+		e.needsEvent = true
+		got := ""
+		data, _, err := e.next()
+		for ; err == nil; data, _, err = e.next() {
+			got += string(data)
+		}
+		if got != c.want || !errors.Is(err, c.err) {
+			t.Errorf("events of %q are %q (%v), want %q (%v)", c.stream, got, err, c.want, c.err)
+		}
+	}
+}
+
 // Reading any stream at once and byte by byte must return the same events, and all of
 // the stream up to the end of the last whole event.
 func FuzzEvents(f *testing.F) {
