Let some upstreams of the soak send answers that end with their connections

Every second upstream of a kind answers with neither a length nor chunks. The proxy passed the reset of one end on as a plain close, which would have made a broken answer of such an upstream look complete; it now resets the other end too (TestProxyForwardsReset).

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,7 +14,7 @@
 // The modes of a proxy. Bytes that a proxy holds are forwarded once the mode changes, as
 // on a network link that recovers.
 const (
-	// Pass forwards all bytes.
+	// Pass forwards all bytes, and how each connection ends.
 	Pass Mode = "pass"
 	// Delay forwards all bytes after a delay.
 	Delay Mode = "delay"
@@ -145,10 +146,15 @@
 				return
 			}
 		}
-		if err != nil {
+		if err == io.EOF {
 			closeWrite(to)
 			return
 		}
+		if err != nil {
+			// A plain close would look like the end of an answer that has no length.
+			resetConn(to)
+			return
+		}
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -3,10 +3,11 @@
 //
 // Faults are signals to the hosts' processes, proxies that delay, reset or hold the
 // connections to the store, to upstreams and between hosts, a store that is unavailable
-// or compacts its history, and upstreams that misbehave or drain. They occur in series and
-// may overlap. Plans of the kind Silences have no faults: sound upstreams fall silent for
-// a moment during planned work. All random choices depend on the seed alone; the exact
-// timing depends on the machine.
+// or compacts its history, and upstreams that misbehave or drain. Some upstreams send
+// answers with neither a length nor chunks. Faults occur in series and may overlap. Plans
+// of the kind Silences have no faults: sound upstreams fall silent for a moment during
+// planned work. All random choices depend on the seed alone; the exact timing depends on
+// the machine.
 package soak
 
 import (
@@ -175,7 +176,9 @@
 	for _, zone := range []string{"a", "b"} {
 		for _, kind := range d.upstreamKinds {
 			for i := range kind.count {
-				if err := d.addUpstream(kind, fmt.Sprintf("%s-%s-%d", kind.service, zone, i), zone); err != nil {
+				id := fmt.Sprintf("%s-%s-%d", kind.service, zone, i)
+				// Every second upstream of a kind sends answers that end with its connections.
+				if err := d.addUpstream(kind, id, zone, i%2 == 1); err != nil {
 					return err
 				}
 			}
@@ -215,9 +218,10 @@
 // and write its first log line after each start.
 const startTimeout = 10 * time.Second
 
-func (d *deployment) addUpstream(k upstreamKind, id, zone string) error {
+func (d *deployment) addUpstream(k upstreamKind, id, zone string, closeDelimited bool) error {
 	u := &upstream{worker: &stand.Worker{
 		ID: id, Service: k.service, Zone: zone, Kind: k.workerKind, Slots: k.slots, Events: d.streamEvents, Delay: k.delay,
+		CloseDelimited: closeDelimited,
 	}}
 	u.worker.Advertise = func(addr string) (string, error) {
 		var err error
@@ -386,7 +390,7 @@
 	}
 	for _, k := range d.upstreamKinds {
 		if k.service == u.worker.Service {
-			if err := d.addUpstream(k, fmt.Sprint(k.service, "-", index), u.worker.Zone); err != nil {
+			if err := d.addUpstream(k, fmt.Sprint(k.service, "-", index), u.worker.Zone, u.worker.CloseDelimited); err != nil {
 				return err
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -223,6 +225,37 @@
 	}
 }
 
+// A reset of one end must not reach the other as a close, which can look like the end of an
+// answer.
+func TestProxyForwardsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p, err := NewProxy(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	target, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	resetConn(target)
+	if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read ends with %v, want a reset", err)
+	}
+}
+
 // A connection that is opened while bytes are held must work once they are forwarded.
 func TestProxyHoldsNewConnections(t *testing.T) {
 	p, err := NewProxy(startEchoServer(t))
