Show in the soak that a part of prompts brings down one engine after the other

Plans of the new kind Crashes have planned work, and from 3 s on a quarter of the streams has a part that crashes each engine that begins to answer it, for 2 s. Sound streams share the client account, the first part and the topics. Engines come back under their ID or a new one, at a new port behind their proxies.

Checked are that at most 3 requests with the part reach engines later than 3 s after the fifth crash, and that from 6 s after it sound streams begin at least half as often as before the first; the check needs 10 of them on each side. Streams that cannot be resumed now count as requests that run at most once. A stream may be cut when an engine crashed meanwhile, and a request with the part may fail.

--- a/soak/check.go
+++ b/soak/check.go
@@ -92,7 +92,7 @@
 // checkRuns checks that an unsafe request runs at most once, and not at all if its response
 // is a refusal.
 func (d *deployment) checkRuns(r *record) string {
-	if r.path != stand.PathUnsafe {
+	if r.path != stand.PathUnsafe && r.path != stand.PathOnce {
 		return ""
 	}
 	count := d.runCount(r)
@@ -113,7 +113,7 @@
 		return ""
 	}
 	want := "answer to " + r.id
-	if r.path == stand.PathStream {
+	if isStreamPath(r.path) {
 		want = allEvents(d.streamEvents)
 	}
 	switch {
@@ -147,17 +147,20 @@
 // checkAnswered checks that a request has a complete response, unless its host was paused
 // or killed. A request that was not forwarded may fail on a host that shuts down, as it
 // can arrive while the host closes the connection. A stream may be truncated when an
-// upstream or its link fails, as the time left may be too short to resume it.
+// upstream or its link fails, as the time left may be too short to resume it. A request
+// that crashes engines may fail.
 func (d *deployment) checkAnswered(r *record) string {
 	switch {
 	case d.options.Kind == Silences:
 		return d.checkComplete(r)
-	case r.err == nil || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill):
+	case r.err == nil || r.crashesEngines() || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill):
 		return ""
 	case d.runCount(r) == 0 && d.faultDuring(r.host, r.sentAt, r.endedAt, Terminate):
 		return ""
 	case r.path == stand.PathStream && r.status == http.StatusOK && d.faultDuring(nil, r.sentAt, r.endedAt, UpstreamLink, UpstreamFault):
 		return ""
+	case isStreamPath(r.path) && r.status == http.StatusOK && d.crashDuring(r.sentAt, r.endedAt):
+		return ""
 	}
 	return "ends without an answer"
 }
--- a/soak/client.go
+++ b/soak/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,9 @@
 type record struct {
 	id   string
 	path string
-	host *host
+	// parts are the parts of the prompt but for the last one, or nil if it has none.
+	parts []string
+	host  *host
 	// The client started to send the request at sentAt and had read the whole response
 	// at endedAt.
 	sentAt  time.Time
@@ -50,6 +53,9 @@
 	configVersion int
 	// deadline is the deadline of each request.
 	deadline time.Duration
+	// crashFrom is the time from which some requests have the part that crashes engines,
+	// or the zero time if none ever has it.
+	crashFrom time.Time
 }
 
 // pollReady polls the readiness of the hosts, as a load balancer does, until the context
@@ -102,6 +108,9 @@
 			chosenAt = time.Now()
 		}
 		r := c.newRecord(current, c.randomPath(random))
+		if !c.crashFrom.IsZero() && isStreamPath(r.path) {
+			r.path, r.parts = randomPrompt(random, time.Now().After(c.crashFrom))
+		}
 		r.send(transport)
 		if r.err != nil || r.status >= http.StatusInternalServerError {
 			current = nil
@@ -164,6 +173,9 @@
 		return
 	}
 	stand.SetDeadline(request, r.deadline)
+	if len(r.parts) > 0 {
+		stand.SetPrompt(request, append(slices.Clone(r.parts), r.id)...)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
 	trace := &httptrace.ClientTrace{
--- /dev/null
+++ b/soak/crash.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+const (
+	// crashDelay is the time from the start of the clients to the first request with the
+	// part that crashes engines.
+	crashDelay = 3 * time.Second
+	// crashRestart is the time from the crash of an engine to its next start.
+	crashRestart = 2 * time.Second
+	// crashPartID, firstPartID and the topics are parts of prompts. One of crashShare
+	// requests has the part that crashes engines; all have the first part and a topic.
+	crashPartID = "c4a5"
+	firstPartID = "f157"
+	crashShare  = 4
+	topicCount  = 4
+)
+
+const (
+	// toleratedCrashes is the number of crashes after which requests with the part that
+	// caused them are to be kept from engines. That takes maxQuarantineDelay at most;
+	// maxLateArrivals requests may still reach engines afterwards.
+	toleratedCrashes   = 5
+	maxQuarantineDelay = 3 * time.Second
+	maxLateArrivals    = 3
+	// maxCrashRecovery is the time after which sound requests are to be served again, as
+	// often as minSoundShare of the share before.
+	maxCrashRecovery = 6 * time.Second
+	minSoundShare    = 0.5
+	// minSoundRequests is the number of requests that a share is to be measured with.
+	minSoundRequests = 10
+)
+
+// usesCrashPart reports whether the runs of a kind have a part that crashes engines.
+func (k PlanKind) usesCrashPart() bool { return k == Crashes }
+
+// isStreamPath reports whether engines serve the requests to a path.
+func isStreamPath(path string) bool { return path == stand.PathStream || path == stand.PathOnce }
+
+// randomPrompt returns the path of a stream and the parts of its prompt but the last.
+func randomPrompt(random *rand.Rand, crashes bool) (path string, parts []string) {
+	path = stand.PathStream
+	if random.IntN(2) == 0 {
+		path = stand.PathOnce
+	}
+	parts = []string{firstPartID, fmt.Sprint("t", random.IntN(topicCount))}
+	place, draw := random.IntN(len(parts)+1), random.IntN(crashShare)
+	if crashes && draw == 0 {
+		parts = slices.Insert(parts, place, crashPartID)
+	}
+	return path, parts
+}
+
+// crashesEngines reports whether a request has the part that crashes engines.
+func (r *record) crashesEngines() bool { return slices.Contains(r.parts, crashPartID) }
+
+// begins reports whether a stream has brought an event.
+func (r *record) begins() bool { return r.status == http.StatusOK && r.body != "" }
+
+// crashDuring reports whether an engine crashed between two times.
+func (d *deployment) crashDuring(from, to time.Time) bool {
+	return slices.ContainsFunc(d.crashes(), func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
+// crashes returns the times of the crashes of engines.
+func (d *deployment) crashes() []time.Time {
+	if d.crashPart == nil {
+		return nil
+	}
+	return d.crashPart.Crashes()
+}
+
+// checkCrashes checks that requests with the part that crashes engines are kept from them
+// after some crashes, and that other requests are served then.
+func (d *deployment) checkCrashes() []string {
+	if d.crashPart == nil {
+		return nil
+	}
+	crashes := d.crashes()
+	if len(crashes) == 0 {
+		return []string{"no engine crashed; the run shows nothing"}
+	}
+	if len(crashes) < toleratedCrashes {
+		return nil
+	}
+	known := crashes[toleratedCrashes-1]
+	var violations []string
+	if n := d.crashPart.ArrivalsAfter(known.Add(maxQuarantineDelay)); n > maxLateArrivals {
+		violations = append(violations, fmt.Sprintf("%d requests with the part that crashes engines reached some later than %s after crash %d, of %d in all",
+			n, maxQuarantineDelay, toleratedCrashes, len(crashes)))
+	}
+	return append(violations, d.clients.checkSoundStreams(d.clients.crashFrom, known.Add(maxCrashRecovery))...)
+}
+
+// checkSoundStreams checks that the share of sound streams that begin is, after a time, at
+// least half of that before another.
+func (c *clientPool) checkSoundStreams(before, after time.Time) []string {
+	var early, late shareCounter
+	for _, r := range c.records {
+		switch {
+		case !isStreamPath(r.path) || r.crashesEngines():
+		case r.endedAt.Before(before):
+			early.add(r.begins())
+		case r.sentAt.After(after):
+			late.add(r.begins())
+		}
+	}
+	if early.total < minSoundRequests || late.total < minSoundRequests {
+		return []string{fmt.Sprintf("%d and %d sound streams before the crashes and after them; the run shows nothing", early.total, late.total)}
+	}
+	if late.share() < minSoundShare*early.share() {
+		return []string{fmt.Sprintf("%d of %d sound streams begin after the crashes, %d of %d before them", late.met, late.total, early.met, early.total)}
+	}
+	return nil
+}
+
+// A shareCounter counts how many of a number of requests meet a condition.
+type shareCounter struct{ met, total int }
+
+func (s *shareCounter) add(met bool) {
+	s.total++
+	if met {
+		s.met++
+	}
+}
+
+func (s *shareCounter) share() float64 { return float64(s.met) / float64(s.total) }
--- a/soak/kind.go
+++ b/soak/kind.go
@@ -18,6 +18,9 @@
 	Drills PlanKind = "drills"
 	// Silences has silences of upstreams and planned work, and no faults.
 	Silences PlanKind = "silences"
+	// Crashes has planned work, and a part of prompts that crashes each engine that begins
+	// to answer a request with it.
+	Crashes PlanKind = "crashes"
 )
 
 // surroundings are the parameters of a run that depend on the kind of its plan.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -103,6 +103,8 @@
 		general.actions = plannedActions
 		silences := seriesKind{[]Action{UpstreamSilence}, maxSilentUpstreams, minSilence, maxSilence}
 		plan = silences.steps(random, length)
+	case Crashes:
+		general.actions = plannedActions
 	}
 	plan = append(plan, general.steps(random, length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -34,8 +34,8 @@
 // injects network faults.
 type Proxy struct {
 	listener net.Listener
-	target   string
 	mu       sync.Mutex
+	target   string
 	mode     Mode
 	// modeChanged is closed and replaced when the mode changes.
 	modeChanged chan struct{}
@@ -77,6 +77,13 @@
 	}
 }
 
+// SetTarget sets the target of new connections.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -97,7 +104,10 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil || !p.track(client, server) {
 		resetConn(client)
 		if err == nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,8 @@
 	// FailedEarly is the number of requests that got the status 502 or 504 before their
 	// deadlines.
 	FailedEarly int
+	// Crashes is the number of crashes of engines.
+	Crashes int
 	// Violations describe the guarantees that were not kept.
 	Violations []string
 }
@@ -66,6 +68,8 @@
 	server    *http.Server
 	hosts     []*host
 	clients   *clientPool
+	// crashPart is the part of prompts that crashes engines, or nil.
+	crashPart *stand.CrashPart
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -102,10 +106,16 @@
 func Run(o Options) (Report, error) {
 	d := &deployment{options: o, surroundings: o.Kind.surroundings(), store: &stand.Store{}}
 	defer d.close()
+	if o.Kind.usesCrashPart() {
+		d.crashPart = &stand.CrashPart{ID: crashPartID, RestartAfter: crashRestart}
+	}
 	if err := d.start(); err != nil {
 		return Report{}, fmt.Errorf("start the deployment: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	if d.crashPart != nil {
+		d.clients.crashFrom = time.Now().Add(crashDelay)
+	}
 	var clients sync.WaitGroup
 	go d.clients.pollReady(ctx)
 	for i := range o.Clients {
@@ -122,11 +132,14 @@
 	if runErr != nil {
 		return Report{}, runErr
 	}
+	if d.crashDuring(time.Now().Add(-crashRestart), time.Now()) {
+		time.Sleep(crashRestart + recoverySlack)
+	}
 	violations := d.checkRecovery()
 	for _, h := range d.hosts {
 		h.stop()
 	}
-	violations = append(violations, d.check()...)
+	violations = slices.Concat(violations, d.check(), d.checkCrashes())
 	if err := d.writeSteps(); err != nil {
 		return Report{}, err
 	}
@@ -138,7 +151,7 @@
 const recoveryTime = 6 * time.Second
 
 func (d *deployment) report(steps int, violations []string) Report {
-	r := Report{Steps: steps, Requests: len(d.clients.records), Violations: violations}
+	r := Report{Steps: steps, Requests: len(d.clients.records), Crashes: len(d.crashes()), Violations: violations}
 	for _, rec := range d.clients.records {
 		if rec.err == nil && rec.status == http.StatusOK {
 			r.Served++
@@ -223,7 +236,14 @@
 		ID: id, Service: k.service, Zone: zone, Kind: k.workerKind, Slots: k.slots, Events: d.streamEvents, Delay: k.delay,
 		CloseDelimited: closeDelimited,
 	}}
+	if k.workerKind == stand.Engine {
+		u.worker.CrashPart = d.crashPart
+	}
 	u.worker.Advertise = func(addr string) (string, error) {
+		if u.proxy != nil {
+			u.proxy.SetTarget(addr) // The worker has started again.
+			return u.proxy.Addr(), nil
+		}
 		var err error
 		if u.proxy, err = NewProxy(addr); err != nil {
 			return "", fmt.Errorf("start proxy to the upstream: %w", err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,7 @@
 
 	// The test builds the program, so a cached result is valid only for this code.
 	_ "teaselplank/cmd/teaselplank/cmds"
+	"teaselplank/platform/stand"
 )
 
 // regressions are seeds that once failed. They run one after the other to limit the load
@@ -54,6 +56,12 @@
 	runSeeds(t, Options{Binary: buildBinary(t), Seed: 149, Length: 4 * time.Second, Kind: Silences, Clients: 24})
 }
 
+// Requests with a part that crashes each engine that begins to answer them bring down one
+// engine after the other, and with them the requests that have nothing to do with it.
+func TestSoakCrashingPart(t *testing.T) {
+	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 12 * time.Second, Kind: Crashes, Clients: 12})
+}
+
 func buildBinary(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "teaselplank")
@@ -88,7 +96,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d steps, %d requests, %d served, %d with 502 or 504 before their deadlines", report.Steps, report.Requests, report.Served, report.FailedEarly)
+	t.Logf("%d steps, %d requests, %d served, %d with 502 or 504 before their deadlines, %d crashes",
+		report.Steps, report.Requests, report.Served, report.FailedEarly, report.Crashes)
 	if len(report.Violations) == 0 && report.Served > 0 {
 		os.RemoveAll(directory)
 		return
@@ -172,6 +181,45 @@
 	}
 }
 
+func TestCheckSoundStreams(t *testing.T) {
+	before := time.Now()
+	after := before.Add(maxCrashRecovery)
+	// records returns streams at a time, some of which begin.
+	records := func(at time.Time, count, begun int, parts ...string) []*record {
+		list := make([]*record, count)
+		for i := range list {
+			list[i] = &record{path: stand.PathOnce, parts: parts, sentAt: at, endedAt: at, status: http.StatusBadGateway}
+			if i < begun {
+				list[i].status, list[i].body = http.StatusOK, "id: 0"
+			}
+		}
+		return list
+	}
+	early, late := before.Add(-time.Second), after.Add(time.Second)
+	tests := []struct {
+		name    string
+		records []*record
+		ok      bool
+	}{
+		{"all begin", slices.Concat(records(early, 20, 20), records(late, 20, 20)), true},
+		{"half of them", slices.Concat(records(early, 20, 20), records(late, 20, 10)), true},
+		{"fewer than half", slices.Concat(records(early, 20, 20), records(late, 20, 9)), false},
+		{"fewer before too", slices.Concat(records(early, 20, 18), records(late, 20, 9)), true},
+		{"fewer in between", slices.Concat(records(early, 20, 20), records(before.Add(time.Second), 20, 0), records(late, 20, 20)), true},
+		{"only those with the part fail", slices.Concat(records(early, 20, 20), records(late, 20, 20), records(late, 90, 0, firstPartID, crashPartID)), true},
+		{"only those with the part begin", slices.Concat(records(early, 20, 20), records(late, 20, 0), records(late, 90, 90, crashPartID)), false},
+		{"too few", slices.Concat(records(early, 20, 20), records(late, minSoundRequests-1, minSoundRequests-1)), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := &clientPool{records: test.records}
+			if violations := c.checkSoundStreams(before, after); (len(violations) == 0) != test.ok {
+				t.Errorf("the check finds %q", violations)
+			}
+		})
+	}
+}
+
 // startEchoServer starts a server that echoes the bytes of each connection, and returns
 // its address.
 func startEchoServer(t *testing.T) string {
