--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,7 +14,7 @@
 // The modes of a proxy. Bytes that a proxy holds are forwarded once the mode changes, as
 // on a network link that recovers.
 const (
-	// Pass forwards all bytes.
+	// Pass forwards all bytes, and how each connection ends.
 	Pass Mode = "pass"
 	// Delay forwards all bytes after a delay.
 	Delay Mode = "delay"
@@ -33,8 +34,8 @@
 // injects network faults.
 type Proxy struct {
 	listener net.Listener
-	target   string
 	mu       sync.Mutex
+	target   string
 	mode     Mode
 	// modeChanged is closed and replaced when the mode changes.
 	modeChanged chan struct{}
@@ -76,6 +77,13 @@
 	}
 }
 
+// SetTarget sets the target of new connections.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -96,7 +104,10 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil || !p.track(client, server) {
 		resetConn(client)
 		if err == nil {
@@ -145,10 +156,15 @@
 				return
 			}
 		}
-		if err != nil {
+		if err == io.EOF {
 			closeWrite(to)
 			return
 		}
+		if err != nil {
+			// A plain close would look like the end of an answer that has no length.
+			resetConn(to)
+			return
+		}
 	}
 }
 
