Recognize a crashed upstream behind a proxy

Callers saw the same crashes where upstreams are reached through a proxy: it accepts a connection and closes it at once, so that the check took the upstream for alive and its cases were withdrawn.

A connection that is closed at once now counts like one that is refused.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -23,22 +23,34 @@
 	checkDelay = 25 * time.Millisecond
 	// checkTimeout bounds the connection that checks an upstream.
 	checkTimeout = 500 * time.Millisecond
+	// closeTimeout is how long a connection must stay open to show that its upstream lives.
+	closeTimeout = 100 * time.Millisecond
 )
 
-// checkUpstream finds out whether an upstream's process has ended: if so, its host refuses
-// connections.
+// checkUpstream finds out whether an upstream's process has ended.
 func (s *Server) checkUpstream(u fleet.Upstream) {
 	if !s.sleep(checkDelay) {
 		return
 	}
+	ended := s.hasEnded(u)
+	s.logger.Info("upstream is checked after a failure", "upstream", u.ID, "born", u.Born, "service", u.Service, "ended", ended)
+	s.step(proxy.UpstreamChecked{ID: u.ID, Born: u.Born, Ended: ended})
+}
+
+// hasEnded makes a connection to an upstream and reports whether it is refused, or closed
+// at once by a proxy in front of a process that is gone. It sends nothing.
+func (s *Server) hasEnded(u fleet.Upstream) bool {
 	dialer := net.Dialer{Timeout: checkTimeout}
 	c, err := dialer.DialContext(s.context, "tcp", u.Addr)
-	if err == nil {
-		c.Close()
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	ended := errors.Is(err, syscall.ECONNREFUSED)
-	s.logger.Info("upstream is checked after a failure", "upstream", u.ID, "born", u.Born, "service", u.Service, "ended", ended)
-	s.step(proxy.UpstreamChecked{ID: u.ID, Born: u.Born, Ended: ended})
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(closeTimeout)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err != nil && !isTimeout(err)
 }
 
 const (
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"teaselplank/fleet"
 	"teaselplank/platform/stand"
 )
 
@@ -132,3 +134,40 @@
 		})
 	}
 }
+
+// An upstream that only breaks a connection must not be taken for one that has ended, and
+// one that has ended must be recognized also behind a proxy.
+func TestHasEnded(t *testing.T) {
+	d := deploy(t, 0)
+	s := d.newServer(d.settings("node"))
+	defer s.close()
+	listen := func(t *testing.T, serve func(net.Conn)) string {
+		t.Helper()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+				serve(c)
+			}
+		}()
+		return l.Addr().String()
+	}
+	wantEnded := func(t *testing.T, addr string, want bool) {
+		t.Helper()
+		if got := s.hasEnded(fleet.Upstream{ID: "u", Addr: addr}); got != want {
+			t.Errorf("upstream has ended: %v, want %v", got, want)
+		}
+	}
+	t.Run("lives", func(t *testing.T) {
+		wantEnded(t, listen(t, func(c net.Conn) { t.Cleanup(func() { c.Close() }) }), false)
+	})
+	t.Run("refuses connections", func(t *testing.T) {
+		wantEnded(t, freeAddress(t), true)
+	})
+	t.Run("behind a proxy", func(t *testing.T) {
+		wantEnded(t, listen(t, func(c net.Conn) { c.Close() }), true)
+	})
+}
