Cut an answer that is given up because its client seems gone

What callers saw: a client that ends its own side of the connection after its request (shutdown for writing) got an empty 200 in place of its answer, and a stream that ended as if it were complete after the events so far.

Cause: net/http cancels a request's context when it reads the end of the connection. The exchange took this for a client that reads no more and returned from its handler, and net/http then completes the response: with an empty 200, or with the last chunk.

Change: the exchange cuts such an answer, as it does any other that it cannot complete.

TestAnswerToHalfClosedConnection failed before in both cases (200 "", and one event of six without an error) and passes now, 3 of 3.

--- a/relay/client.go
+++ b/relay/client.go
@@ -156,10 +156,11 @@
 	return true
 }
 
-// endEvent returns the event for a context that is done.
+// endEvent returns the event for a context that is done. It cuts the answer to a client that
+// has disconnected, since a client that has only stopped sending still reads.
 func (x *exchange) endEvent() proxy.Event {
 	if x.httpRequest.Context().Err() != nil {
-		x.finished = true
+		x.finished, x.aborted = true, true
 		return proxy.ClientDisconnected{Number: x.request.Number}
 	}
 	return proxy.TimedOut{Number: x.request.Number, ResponseStarted: x.headSent}
