Answer a pipelined request on a stopping host

What callers saw: a client that sent two requests at once got the first answer and then the end of the connection, although the second had been sent to its upstream before the host was asked to stop.

Cause: a connection counts as busy from bytes that are read until the answer is written. The second request was read together with the first, so its connection counted as idle while it was served; closing idle connections set a read deadline in the past, and net/http took that for the end of the client.

Change: a request that is served makes its connection busy as well.

--- a/relay/client.go
+++ b/relay/client.go
@@ -16,6 +16,8 @@
 
 // serveClient serves one request of a client.
 func (s *Server) serveClient(w http.ResponseWriter, r *http.Request) {
+	conn := clientConnOf(r)
+	conn.startRequest()
 	q, err := s.protocol.ParseRequest(r)
 	if err != nil {
 		s.replyInvalid(w, q, http.StatusBadRequest, err.Error(), err)
@@ -27,7 +29,7 @@
 		return
 	}
 	q.Number = s.lastNumber.Add(1)
-	q.Connection = connectionOf(r)
+	q.Connection = conn.describe()
 	x := &exchange{
 		server: s, writer: w, httpRequest: r, body: body, request: q,
 		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -28,7 +28,8 @@
 	accepted time.Time
 
 	mu sync.Mutex
-	// busy is true from the first bytes of a request until its answer was written.
+	// busy is true from the first bytes of a request until its answer was written. If the
+	// request was read together with the one before, it is true from when it is served.
 	busy bool
 	// requests is the number of requests of which something was read.
 	requests int
@@ -48,10 +49,16 @@
 	return context.WithValue(ctx, clientConnKey{}, conn)
 }
 
-// connectionOf describes the connection of a request that is being served.
-func connectionOf(r *http.Request) proxy.Connection {
-	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
-	if !ok {
+// clientConnOf returns the connection of a request that is being served, or nil if its
+// listener is no clientListener.
+func clientConnOf(r *http.Request) *clientConn {
+	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
+	return c
+}
+
+// describe describes the connection for the request that is being served.
+func (c *clientConn) describe() proxy.Connection {
+	if c == nil {
 		return proxy.Connection{}
 	}
 	c.mu.Lock()
@@ -128,8 +135,12 @@
 	return n, err // net/http compares the error, so it must not be wrapped.
 }
 
-// startRequest records that a request arrives. It cancels closing the connection.
+// startRequest records that a request arrives or is served. It cancels closing the
+// connection, which may be nil.
 func (c *clientConn) startRequest() {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -218,3 +220,47 @@
 	}
 	group.Wait()
 }
+
+// A request that arrived together with the one before it must get its answer although the
+// node closes idle connections.
+func TestPipelinedRequestCutByStop(t *testing.T) {
+	const delay = time.Second
+	d := deploy(t, 0, func(w *stand.Worker) {
+		if w.Kind == stand.Plain {
+			w.Delay = delay
+		}
+	})
+	settings := d.settings("alone")
+	settings.Grace = 2 * delay
+	n := d.addNodeWith(settings)
+	d.await("the node is ready", func() bool { return d.isReady(n) })
+	k := dialKept(t, n.addr)
+	var both bytes.Buffer
+	for _, id := range []string{"first", "second"} {
+		r, err := stand.NewRequest(n.addr, stand.PathSafe, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Write(&both); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := k.conn.Write(both.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	wantAnswer := func(id string) {
+		t.Helper()
+		answer, err := http.ReadResponse(k.reader, nil)
+		if err != nil {
+			t.Fatalf("request %s: %v", id, err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		if err != nil || answer.StatusCode != http.StatusOK || string(body) != "answer to "+id {
+			t.Errorf("answer to request %s is %d %q (%v)", id, answer.StatusCode, body, err)
+		}
+	}
+	wantAnswer("first")
+	d.await("the second request is sent", func() bool { return d.runs("second", stand.ServiceDesk) > 0 })
+	n.stop()
+	wantAnswer("second")
+}
