Run stages at a stopping host that finds no owner

What callers saw: when all hosts are asked to stop at once, each request in progress that still needs a stage is refused ("stage failed") at once, with seconds of the grace period left.

Cause: whether another host takes over the stages is decided once, when the stop begins. Each host still believed in the others then and drained its own owner, which refuses for good; when the others turn out to leave as well, nobody asks again, and the last resort, the host's own owner, refuses too.

Change: a job that no owner accepts is submitted at its own host as a last resort, and a draining owner runs it. A closed one does not.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -34,8 +34,11 @@
 	// recentlyFreed holds the handles of freed results, so that none is freed twice.
 	recentlyFreed queue.FIFOMap[string, struct{}]
 	// retries assigns the times at which refused requests may retry.
-	retries        retrySchedule
+	retries retrySchedule
+	// draining is true if only jobs that no other node runs are accepted, and closed if
+	// none is.
 	draining       bool
+	closed         bool
 	lastCallNumber int
 	effects        []Effect
 	counts         Counts
@@ -109,6 +112,7 @@
 	case Drain:
 		s.drain(func(j *job) bool { return j.sent })
 	case Close:
+		s.closed = true
 		s.drain(func(*job) bool { return false })
 	case Tick:
 	}
@@ -165,7 +169,7 @@
 	if old := s.jobs[j.Ref]; old != nil {
 		s.drop(old)
 	}
-	if s.draining || !s.configured {
+	if !s.accepts(j) {
 		s.refuse(&job{Job: j}, ReasonNotOwner, 0)
 		return
 	}
@@ -196,6 +200,14 @@
 	p.queue = append(p.queue, admitted)
 }
 
+// accepts reports whether the node runs a job, or leaves it to another one.
+func (s *Scheduler) accepts(j Job) bool {
+	if s.closed || !s.configured {
+		return false
+	}
+	return !s.draining || j.LastResort
+}
+
 // queryMemory asks the workers of a pool for their free memory if no job was admitted for
 // ResultTTL. This node may then be a new owner, and the workers may hold results of the
 // previous one.
@@ -239,8 +251,8 @@
 	s.release(finished)
 }
 
-// drain refuses all new jobs and those that the node does not keep, so that the next
-// owner gets them.
+// drain refuses the jobs that the node does not keep, and those that arrive from now on, so
+// that the next owner gets them.
 func (s *Scheduler) drain(keep func(*job) bool) {
 	s.draining = true
 	for _, j := range s.jobs {
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -312,6 +312,24 @@
 	h.wantRefused(h.submit("later", "a", 2, time.Second), ReasonNotOwner)
 }
 
+// A draining owner must run a job that no other node runs, until it closes.
+func TestLastResort(t *testing.T) {
+	h := newHarness(t, "a1")
+	submit := func(name string) Ref {
+		ref, due := Ref{Request: name}, h.now.Add(time.Second)
+		h.step(Submit{Job: Job{Ref: ref, Service: "s", Pieces: 1, ResultBytes: 10, Key: "k", Zone: "a",
+			Due: due, StagesDue: due, Deadline: due, LastResort: true}})
+		return ref
+	}
+	h.step(Drain{})
+	h.wantRefused(h.submit("other", "a", 1, time.Second), ReasonNotOwner)
+	ref := submit("draining")
+	h.run(time.Second)
+	h.wantDone(ref, 1)
+	h.step(Close{})
+	h.wantRefused(submit("closed"), ReasonNotOwner)
+}
+
 // Workers that cannot be heard for a moment must not make those of their zone unusable.
 func TestSilentWorkerTakesItsZoneAlong(t *testing.T) {
 	t.Run("others run the next job", func(t *testing.T) {
--- a/batch/event.go
+++ b/batch/event.go
@@ -40,6 +40,8 @@
 	// Started is true if work was already done for the request. Such a job is not
 	// refused for missing Due, only for missing Deadline.
 	Started bool
+	// LastResort is true if no other node runs the job, so that a draining one does.
+	LastResort bool
 	// Downstream lists the stages that follow this one, in order. StagesDue is the
 	// time by which the last of them must end.
 	Downstream []DownstreamStage
@@ -122,8 +124,8 @@
 		Born   int64
 		Until  time.Time
 	}
-	// Drain refuses all new jobs and those of which no piece was sent. The other
-	// jobs still finish.
+	// Drain refuses the jobs of which no piece was sent, and new ones but for those
+	// submitted as a last resort. The other jobs still finish.
 	Drain struct{}
 	// Close refuses all jobs, also those in progress, since the node no longer gets
 	// answers from workers. The next owner runs them again.
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -20,12 +20,14 @@
 const maxOwnerAttempts = 3
 
 // runStage runs a job and returns its outcome. If no owner runs it or knows its service,
-// this node does: it admitted the request, so it knows the service and its workers.
+// this node does, also while it is stopping: it admitted the request, so it knows the
+// service and its workers.
 func (s *Server) runStage(ctx context.Context, number uint64, job batch.Job) proxy.Event {
 	outcome := s.runAtOwners(ctx, number, job)
 	if ctx.Err() != nil || outcome != nil && !failedFor(outcome, batch.ReasonUnknownService) {
 		return outcome
 	}
+	job.LastResort = true
 	if event, ok := s.runAt(ctx, s.self, number, job); ok {
 		return event
 	}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -264,3 +264,30 @@
 	n.stop()
 	wantAnswer("second")
 }
+
+// Requests that are in progress when all nodes stop at once must still get their stages.
+func TestStagesRefusedWhenAllStop(t *testing.T) {
+	const requests = 6
+	d := deploy(t, 2, func(w *stand.Worker) {
+		if w.Kind == stand.Stage {
+			w.Delay = 250 * time.Millisecond
+		}
+	})
+	answers := make(chan result, requests)
+	for i := range requests {
+		go func() { answers <- d.askAs(d.nodes[i%2], fmt.Sprint("all-stop-", i), stand.PathStream) }()
+	}
+	d.await("the requests are in progress", func() bool {
+		return d.nodes[0].server.requestCount()+d.nodes[1].server.requestCount() == requests
+	})
+	time.Sleep(100 * time.Millisecond)
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for range requests {
+		r := <-answers
+		if r.err != nil || r.status != http.StatusOK || r.body != allEvents {
+			t.Errorf("answer to request %s is %d %q (%v)", r.id, r.status, r.body, r.err)
+		}
+	}
+}
