Close the connection of a call that is given up

What callers saw: a call that outlasts the stop of a node (drain_limit and the time for the last responses) got an empty 200, which looks as if the call had succeeded without a result; so did a caller that ends its own side of the connection.

Cause: the handler returned without an answer when the node closed or net/http read the end of the connection, and net/http then completes the response as an empty 200. A stream ended without its final answer, but as a complete body.

Change: the handler aborts, which closes the connection.

TestGivenUpCallLooksDone failed before (2 of 2, in both cases) and passes now (2 of 2 under the race detector).

--- a/server/callers.go
+++ b/server/callers.go
@@ -200,7 +200,8 @@
 	}{key})
 }
 
-// runCall submits a call to the node, waits for its answer and writes it.
+// runCall submits a call to the node, waits for its answer and writes it. If there is
+// none, it closes the connection.
 func (s *Server) runCall(w http.ResponseWriter, r *http.Request, c core.Call, stream bool) {
 	waiter := s.addWaiter(c.ID)
 	defer s.removeWaiter(c.ID)
@@ -215,7 +216,8 @@
 		reply, ok = s.awaitReply(r, c.ID, waiter)
 	}
 	if !ok {
-		return
+		// Closes the connection; net/http would end the answer as if it were complete.
+		panic(http.ErrAbortHandler)
 	}
 	s.metrics.observeCall(c, time.Since(started))
 	if !stream {
