Refuse calls at a node that stops before it is ready

Change: a node that lacks rules or hosts refuses calls with a time to retry, also while it is stopping.

TestStopBeforeReady failed before (404) and passes now.

--- a/core/call.go
+++ b/core/call.go
@@ -39,7 +39,7 @@
 	n.counts.Arrived++
 	state := &callState{call: c, weight: 1}
 	n.calls[c.ID] = state
-	if reason := n.Unready(); reason != "" && !n.stopping {
+	if reason := n.incomplete(); reason != "" {
 		n.reply(c.ID, errorAnswer(c.ID, wire.NotRun, reason, defaultRetryAfter), http.StatusServiceUnavailable, false)
 		return
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -271,9 +271,16 @@
 
 // Unready returns why the node is not ready, or an empty string if it is.
 func (n *Node) Unready() string {
-	switch {
-	case n.stopping:
+	if n.stopping {
 		return "node is leaving"
+	}
+	return n.incomplete()
+}
+
+// incomplete returns what the node does not know yet that it needs to serve calls, or an
+// empty string.
+func (n *Node) incomplete() string {
+	switch {
 	case !n.replica.Initialized():
 		return "rules are not known yet"
 	case !n.hostsListed:
