Refuse calls that may outlast the stop of a node

What callers saw: a node in its drain_limit took each call that still arrived, whatever its deadline, and cut those that had not ended when it exited.

Cause: the same as at an entry host, and with no question asked at all: a limit that must hold for each call, the time until the node exits, was compared with none of them.

Change: once load balancers have had drain_lag to stop sending calls, a call is refused with a time to retry unless it ends by its own deadline before drain_limit does. Calls within drain_lag are served as before, as the node waits for them for drain_limit.

TestCallCutByStop failed before (the call was sent to its upstream) and passes now.

--- a/core/call.go
+++ b/core/call.go
@@ -55,6 +55,10 @@
 		timeout = min(timeout, c.Timeout)
 	}
 	state.deadline = now.Add(timeout)
+	if n.mayOutlastStop(now, state) {
+		n.reply(c.ID, errorAnswer(c.ID, wire.NotRun, "node is leaving", defaultRetryAfter), http.StatusServiceUnavailable, false)
+		return
+	}
 	if c.Key == "" && state.service != nil && state.service.AtMostOnce {
 		reason := fmt.Sprintf("service %q needs the header %s", c.Service, wire.HeaderKey)
 		n.reply(c.ID, errorAnswer(c.ID, wire.NotRun, reason, 0), http.StatusBadRequest, false)
@@ -67,6 +71,16 @@
 	n.submitKeyed(now, state)
 }
 
+// mayOutlastStop reports whether the node is stopping and a call that arrives now may not
+// end before that. The calls that load balancers still send are served in any case, as the
+// node waits longest for them.
+func (n *Node) mayOutlastStop(now time.Time, c *callState) bool {
+	if !n.stopping || n.stop.Until.IsZero() || now.Before(n.stop.Unlisted) {
+		return false
+	}
+	return c.deadline.After(n.stop.Until)
+}
+
 // plan sets the steps of a call and returns the deadline that its rule names.
 func (n *Node) plan(c *callState) (time.Duration, error) {
 	if c.call.Service != "" {
--- a/core/core.go
+++ b/core/core.go
@@ -99,6 +99,8 @@
 	// ruleSet is the rule set in force.
 	ruleSet  *rules.Set
 	stopping bool
+	// stop is how the node shuts down. It is valid if stopping is true.
+	stop Stop
 	// behindSince is when a peer first reported newer rules, or zero.
 	behindSince time.Time
 	// fetching is true while the state of a peer is being fetched.
@@ -183,7 +185,7 @@
 	case LoadReported:
 		n.loadReported(now, e)
 	case Stop:
-		n.stopping = true
+		n.stopping, n.stop = true, e
 		n.stepMember(now, member.Stop{})
 	case Tick:
 		n.tick(now)
--- a/core/event.go
+++ b/core/event.go
@@ -63,8 +63,15 @@
 		Load wire.Load
 	}
 	// Stop asks the node to shut down. The node announces this to its peers and
-	// continues to serve the calls that it gets until Drained reports true.
-	Stop struct{}
+	// continues to serve the calls that it gets until Drained reports true, but for
+	// those that may not end in time.
+	Stop struct {
+		// Unlisted is when load balancers have stopped sending calls here.
+		Unlisted time.Time
+		// Until is when the node no longer waits for calls. Zero means that it always
+		// waits.
+		Until time.Time
+	}
 	// Tick runs the timers and tasks that are due.
 	Tick struct{}
 )
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselplank/member"
+	"teaselplank/pipe"
 	"teaselplank/wire"
 )
 
@@ -31,3 +32,33 @@
 	n.Step(now, Stop{})
 	wantNotRun(t, n.Step(now, pipelineCall("early")))
 }
+
+// A stopping node must not take a call that may outlast it.
+func TestCallCutByStop(t *testing.T) {
+	const lag, limit = 2 * time.Second, 8 * time.Second
+	cases := []struct {
+		name    string
+		after   time.Duration
+		timeout time.Duration
+		taken   bool
+	}{
+		{"balancer still sends calls", lag - time.Millisecond, 0, true},
+		{"fits", lag + limit - 5*time.Second, 0, true},
+		{"may outlast the stop", lag + limit - 5*time.Second + time.Millisecond, 0, false},
+		{"own deadline fits", lag + limit - time.Second, time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n, now := newBenchNode(t, 2, 0)
+			n.Step(now, Stop{Unlisted: now.Add(lag), Until: now.Add(lag + limit)})
+			call := pipelineCall("c")
+			call.Call.Timeout = c.timeout
+			effects := n.Step(now.Add(c.after), call)
+			if c.taken {
+				mustFind[pipe.Call](t, effects)
+				return
+			}
+			wantNotRun(t, effects)
+		})
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -247,10 +247,11 @@
 // calls in flight.
 func (s *Server) drain() {
 	s.logger.Info("node is draining", "node", s.settings.Node)
-	s.Post(core.Stop{})
-	time.Sleep(s.settings.DrainLag)
-	deadline := time.Now().Add(s.settings.DrainLimit)
-	for time.Now().Before(deadline) {
+	unlisted := time.Now().Add(s.settings.DrainLag)
+	until := unlisted.Add(s.settings.DrainLimit)
+	s.Post(core.Stop{Unlisted: unlisted, Until: until})
+	time.Sleep(time.Until(unlisted))
+	for time.Now().Before(until) {
 		drained := false
 		s.Query(func(n *core.Node) { drained = n.Drained() })
 		if drained {
