Give calls that arrive after the drain the whole drain limit

Once the node was found drained, drain_limit no longer counted, only the timeout for the last responses, which was chosen for a publish.

Nothing waits longer than it has a response to write.

TestLateCallCutByShutdown checks the time that a listener waits; no test plays the race.

--- a/server/server.go
+++ b/server/server.go
@@ -210,9 +210,9 @@
 	}
 	// Close idle connections and ask callers to reconnect elsewhere while the node drains.
 	servers[0].SetKeepAlivesEnabled(false)
-	s.drain()
+	until := s.drain()
 	for _, srv := range servers {
-		s.shutdown(srv)
+		s.shutdown(srv, until)
 	}
 	return nil
 }
@@ -244,11 +244,11 @@
 
 // drain announces to the other nodes that this node is leaving, keeps serving for DrainLag
 // until load balancers stop sending it requests, and then waits up to DrainLimit for the
-// calls in flight.
-func (s *Server) drain() {
+// calls in flight. It returns when DrainLimit ends.
+func (s *Server) drain() (until time.Time) {
 	s.logger.Info("node is draining", "node", s.settings.Node)
 	unlisted := time.Now().Add(s.settings.DrainLag)
-	until := unlisted.Add(s.settings.DrainLimit)
+	until = unlisted.Add(s.settings.DrainLimit)
 	s.Post(core.Stop{Unlisted: unlisted, Until: until})
 	time.Sleep(time.Until(unlisted))
 	for time.Now().Before(until) {
@@ -256,19 +256,24 @@
 		s.Query(func(n *core.Node) { drained = n.Drained() })
 		if drained {
 			s.logger.Info("node drained", "node", s.settings.Node)
-			return
+			return until
 		}
 		time.Sleep(drainPollInterval)
 	}
 	s.logger.Warn("drain limit reached before node was drained", "node", s.settings.Node, "limit", s.settings.DrainLimit)
+	return until
 }
 
-// shutdownTimeout is the timeout for the last responses of a listener. It exceeds
+// shutdownTimeout is the minimum timeout for the last responses of a listener. It exceeds
 // publishTimeout, so that a publish can use its full time.
 const shutdownTimeout = publishTimeout + 5*time.Second
 
-func (s *Server) shutdown(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdownTime returns how long a listener waits for its last responses: also for those of
+// calls that arrived after the node was drained, which may take until the given time.
+func shutdownTime(now, until time.Time) time.Duration { return max(until.Sub(now), shutdownTimeout) }
+
+func (s *Server) shutdown(server *http.Server, until time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime(time.Now(), until))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		s.logger.Warn("listener shut down before all responses were written", "error", err)
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -71,3 +71,14 @@
 		wantNoSuccess(t, response, err)
 	})
 }
+
+// A call that arrives just after the node was drained must not be cut before the drain
+// limit.
+func TestLateCallCutByShutdown(t *testing.T) {
+	now := time.Now()
+	for _, left := range []time.Duration{-time.Second, shutdownTimeout, time.Minute} {
+		if got := shutdownTime(now, now.Add(left)); got < max(left, shutdownTimeout) {
+			t.Errorf("listener waits %s with %s left of the drain limit", got, left)
+		}
+	}
+}
