--- a/relay/listen.go
+++ b/listen/listen.go
@@ -1,4 +1,10 @@
-package relay
+// Package listen lets a server close the idle connections of its clients without losing a
+// request.
+//
+// The server of net/http closes a connection whose next request was already read but does
+// not count as active yet. A Listener closes only connections from which nothing was read
+// since they became idle.
+package listen
 
 import (
 	"context"
@@ -7,24 +13,19 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"teaselplank/proxy"
 )
 
-// A clientListener tracks the connections of clients. It replaces the handling of idle
-// connections of http.Server, which closes a connection whose next request was already
-// read but does not count as active yet. A clientListener closes only connections from
-// which nothing was read since they became idle.
-type clientListener struct {
+// A Listener tracks the connections of clients. Create it with New.
+type Listener struct {
 	net.Listener
 	mu   sync.Mutex
-	open map[*clientConn]struct{}
+	open map[*Conn]struct{}
 }
 
-// A clientConn is a connection of a client.
-type clientConn struct {
+// A Conn is a connection of a client.
+type Conn struct {
 	net.Conn
-	listener *clientListener
+	listener *Listener
 	accepted time.Time
 
 	mu sync.Mutex
@@ -37,42 +38,43 @@
 	closing bool
 }
 
-func newClientListener(l net.Listener) *clientListener {
-	return &clientListener{Listener: l, open: make(map[*clientConn]struct{})}
-}
-
-// clientConnKey is the key of a request's *clientConn in its context.
-type clientConnKey struct{}
-
-// withConn is the ConnContext hook of the server that serves the listener.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
+// New returns a listener that tracks the connections that another one accepts.
+func New(l net.Listener) *Listener {
+	return &Listener{Listener: l, open: make(map[*Conn]struct{})}
 }
 
-// clientConnOf returns the connection of a request that is being served, or nil if its
-// listener is no clientListener.
-func clientConnOf(r *http.Request) *clientConn {
-	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
-	return c
-}
+// connKey is the key of a request's *Conn in its context.
+type connKey struct{}
 
-// describe describes the connection for the request that is being served.
-func (c *clientConn) describe() proxy.Connection {
-	if c == nil {
-		return proxy.Connection{}
+// Attach sets the hooks of a server that is to serve the listener.
+func (l *Listener) Attach(s *http.Server) {
+	s.ConnState = l.track
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return proxy.Connection{Age: time.Since(c.accepted), Earlier: c.requests - 1}
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := ConnOf(r); c != nil {
+			c.startRequest()
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// ConnOf returns the connection of a request that is being served, or nil if its server
+// does not serve a Listener.
+func ConnOf(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
+	return c
 }
 
 // Accept implements net.Listener.
-func (l *clientListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, fmt.Errorf("accept client: %w", err)
 	}
-	c := &clientConn{Conn: raw, listener: l, accepted: time.Now()}
+	c := &Conn{Conn: raw, listener: l, accepted: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
@@ -80,22 +82,22 @@
 }
 
 // track is the ConnState hook of the server that serves the listener.
-func (l *clientListener) track(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*clientConn); ok && state == http.StateIdle {
+func (l *Listener) track(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
 		c.setIdle()
 	}
 }
 
-// len returns the number of open connections.
-func (l *clientListener) len() int {
+// Len returns the number of open connections.
+func (l *Listener) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.open)
 }
 
-// closeIdle makes the server close the connections that wait for a request. It spares new
+// CloseIdle makes the server close the connections that wait for a request. It spares new
 // connections, whose first request is likely to arrive soon.
-func (l *clientListener) closeIdle(now time.Time) {
+func (l *Listener) CloseIdle(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
@@ -109,7 +111,7 @@
 // expired is a read deadline in the past. It ends a read at once.
 var expired = time.Unix(1, 0)
 
-func (c *clientConn) closeIfIdle(now time.Time) {
+func (c *Conn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.requests == 0 && now.Sub(c.accepted) < firstRequestTime {
@@ -120,14 +122,24 @@
 	_ = c.Conn.SetReadDeadline(expired)
 }
 
-func (c *clientConn) setIdle() {
+func (c *Conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
 }
 
+// Age returns the time since the connection was accepted.
+func (c *Conn) Age() time.Duration { return time.Since(c.accepted) }
+
+// Requests returns the number of requests that have arrived.
+func (c *Conn) Requests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests
+}
+
 // Read implements net.Conn.
-func (c *clientConn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.startRequest()
@@ -136,11 +148,8 @@
 }
 
 // startRequest records that a request arrives or is served. It cancels closing the
-// connection, which may be nil.
-func (c *clientConn) startRequest() {
-	if c == nil {
-		return
-	}
+// connection.
+func (c *Conn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy {
@@ -154,7 +163,7 @@
 }
 
 // SetReadDeadline implements net.Conn. It has no effect while the connection is closing.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
@@ -165,7 +174,7 @@
 
 // SetDeadline implements net.Conn. It has no effect on reads while the connection is
 // closing.
-func (c *clientConn) SetDeadline(t time.Time) error {
+func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.SetWriteDeadline(t); err != nil {
 		return err
 	}
@@ -173,7 +182,7 @@
 }
 
 // Close implements net.Conn.
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
--- a/relay/listen_test.go
+++ b/listen/listen_test.go
@@ -1,21 +1,23 @@
-package relay
+package listen
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 )
 
 // Only connections from which nothing was read since they became idle are closed.
 func TestCloseIdle(t *testing.T) {
-	accept := func(t *testing.T) (*clientListener, net.Conn, *clientConn) {
+	accept := func(t *testing.T) (*Listener, net.Conn, *Conn) {
 		t.Helper()
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		l := newClientListener(raw)
+		l := New(raw)
 		t.Cleanup(func() { l.Close() })
 		client, err := net.Dial("tcp", raw.Addr().String())
 		if err != nil {
@@ -26,9 +28,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return l, client, accepted.(*clientConn)
+		return l, client, accepted.(*Conn)
 	}
-	request := func(t *testing.T, client net.Conn, c *clientConn) {
+	request := func(t *testing.T, client net.Conn, c *Conn) {
 		t.Helper()
 		if _, err := client.Write([]byte("GET")); err != nil {
 			t.Fatal(err)
@@ -37,7 +39,7 @@
 			t.Fatalf("read: %v", err)
 		}
 	}
-	wantCloses := func(t *testing.T, c *clientConn, want bool) {
+	wantCloses := func(t *testing.T, c *Conn, want bool) {
 		t.Helper()
 		// The server sets its own deadlines, which must not keep the connection open.
 		if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
@@ -45,7 +47,7 @@
 		}
 		started := time.Now()
 		_, err := c.Read(make([]byte, 8))
-		if got := time.Since(started) < 25*time.Millisecond; !isTimeout(err) || got != want {
+		if got := time.Since(started) < 25*time.Millisecond; !errors.Is(err, os.ErrDeadlineExceeded) || got != want {
 			t.Errorf("read ends at once: %v (%v), want %v", got, err, want)
 		}
 	}
@@ -53,29 +55,29 @@
 		l, client, c := accept(t)
 		request(t, client, c)
 		l.track(c, http.StateIdle)
-		l.closeIdle(time.Now())
+		l.CloseIdle(time.Now())
 		wantCloses(t, c, true)
 	})
 	t.Run("request arrives", func(t *testing.T) {
 		l, client, c := accept(t)
 		request(t, client, c)
-		l.closeIdle(time.Now())
+		l.CloseIdle(time.Now())
 		wantCloses(t, c, false)
 	})
 	t.Run("new connection", func(t *testing.T) {
 		l, _, c := accept(t)
-		l.closeIdle(time.Now())
+		l.CloseIdle(time.Now())
 		wantCloses(t, c, false)
 	})
 	t.Run("old connection without a request", func(t *testing.T) {
 		l, _, c := accept(t)
-		l.closeIdle(time.Now().Add(firstRequestTime))
+		l.CloseIdle(time.Now().Add(firstRequestTime))
 		wantCloses(t, c, true)
 	})
 	t.Run("closed connection is forgotten", func(t *testing.T) {
 		l, _, c := accept(t)
 		c.Close()
-		if got := l.len(); got != 0 {
+		if got := l.Len(); got != 0 {
 			t.Errorf("%d connections are open, want none", got)
 		}
 	})
--- a/relay/client.go
+++ b/relay/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"teaselplank/batch"
+	"teaselplank/listen"
 	"teaselplank/proxy"
 	"teaselplank/trace"
 )
@@ -16,8 +17,6 @@
 
 // serveClient serves one request of a client.
 func (s *Server) serveClient(w http.ResponseWriter, r *http.Request) {
-	conn := clientConnOf(r)
-	conn.startRequest()
 	q, err := s.protocol.ParseRequest(r)
 	if err != nil {
 		s.replyInvalid(w, q, http.StatusBadRequest, err.Error(), err)
@@ -29,7 +28,7 @@
 		return
 	}
 	q.Number = s.lastNumber.Add(1)
-	q.Connection = conn.describe()
+	q.Connection = connectionOf(r)
 	x := &exchange{
 		server: s, writer: w, httpRequest: r, body: body, request: q,
 		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
@@ -37,6 +36,15 @@
 	x.run()
 }
 
+// connectionOf describes the connection of a request that is being served.
+func connectionOf(r *http.Request) proxy.Connection {
+	c := listen.ConnOf(r)
+	if c == nil {
+		return proxy.Connection{}
+	}
+	return proxy.Connection{Age: c.Age(), Earlier: c.Requests() - 1}
+}
+
 func (s *Server) maxBodyBytes() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"teaselplank/conf"
 	"teaselplank/fleet"
 	"teaselplank/infra"
+	"teaselplank/listen"
 	"teaselplank/member"
 	"teaselplank/proxy"
 	"teaselplank/trace"
@@ -218,7 +219,7 @@
 	defer s.close()
 	addresses := []string{s.settings.Callers, s.settings.Ready, s.settings.Peers, s.settings.Metrics}
 	handlers := []http.Handler{http.HandlerFunc(s.serveClient), http.HandlerFunc(s.serveReady), s.peerHandler(), s.operatorHandler()}
-	var clients *clientListener
+	var clients *listen.Listener
 	errs := make(chan error, len(addresses))
 	for i, addr := range addresses {
 		l, err := net.Listen("tcp", addr)
@@ -230,8 +231,9 @@
 			ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 		}
 		if addr == s.settings.Callers {
-			clients = newClientListener(l)
-			l, server.ConnState, server.ConnContext = clients, clients.track, withConn
+			clients = listen.New(l)
+			clients.Attach(server)
+			l = clients
 		}
 		go func() { errs <- server.Serve(l) }()
 	}
@@ -275,7 +277,7 @@
 // and the jobs of other nodes have ended. It then accepts no more connections and waits
 // for the requests of the last ones. Requests in progress near the end of the grace period
 // get a final answer.
-func (s *Server) drain(clients *clientListener) {
+func (s *Server) drain(clients *listen.Listener) {
 	begin := time.Now()
 	answerBy := begin.Add(s.settings.Grace - answerMargin)
 	exitBy := begin.Add(s.settings.Grace - exitMargin)
@@ -305,16 +307,16 @@
 
 // awaitIdle closes idle connections until there is neither a connection nor work in
 // progress, or the time has come.
-func (s *Server) awaitIdle(clients *clientListener, by time.Time) {
-	for time.Now().Before(by) && (clients.len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
-		clients.closeIdle(time.Now())
+func (s *Server) awaitIdle(clients *listen.Listener, by time.Time) {
+	for time.Now().Before(by) && (clients.Len() > 0 || s.requestCount() > 0 || s.owner.busy()) {
+		clients.CloseIdle(time.Now())
 		time.Sleep(drainPollInterval)
 	}
 }
 
 // stopAccepting makes new connections fail, so that clients turn to other nodes instead of
 // sending a request that the exit would cut.
-func (s *Server) stopAccepting(clients *clientListener) {
+func (s *Server) stopAccepting(clients *listen.Listener) {
 	if err := clients.Listener.Close(); err != nil {
 		s.logger.Warn("cannot close the listener for clients", "error", err.Error())
 	}
