--- a/fake/service.go
+++ b/fake/service.go
@@ -31,9 +31,10 @@
 	u.dataMu.Lock()
 	state := u.keys[key]
 	state.finished = true
+	output := state.output
 	u.dataMu.Unlock()
 	w.Header().Set("Content-Type", "text/plain")
-	_, _ = io.WriteString(w, state.output)
+	_, _ = io.WriteString(w, output)
 }
 
 // execute counts an execution. It returns false if the fencing number is rejected.
