Keep the connections of callers until a stop has their calls

What callers saw: at SIGTERM a node closed all connections that it took for idle. Callers that had just sent a call on a kept connection got the end of the connection instead of an answer, also for calls that the node ran.

Cause: SetKeepAlivesEnabled(false) closes idle connections at once, and net/http counts one whose next request was already read as idle.

Change: callers listen through listen.Listener as well. While the node drains, its answers ask to close the connection, and after drain_lag it closes the connections from which nothing was read since they became idle.

--- a/server/callers.go
+++ b/server/callers.go
@@ -75,7 +75,18 @@
 	mux.HandleFunc("POST /v1/keys", s.serveKey)
 	mux.HandleFunc("GET /livez", serveLive)
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	return mux
+	return s.closeWhileDraining(mux)
+}
+
+// closeWhileDraining wraps a handler so that callers of a draining node connect elsewhere
+// for their next call.
+func (s *Server) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func serveLive(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") }
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"teaselplank/conf"
 	"teaselplank/core"
 	"teaselplank/infra"
+	"teaselplank/listen"
 	"teaselplank/rules"
 )
 
@@ -60,6 +61,8 @@
 	changesCheckedAt time.Time
 	// currentRules holds the rules in force, for handlers.
 	currentRules atomic.Pointer[rules.Set]
+	// draining is true once the node has been asked to stop.
+	draining atomic.Bool
 }
 
 // rules returns the rules in force.
@@ -195,12 +198,23 @@
 	if err != nil {
 		return err
 	}
+	return s.serve(ctx, listeners)
+}
+
+// serve is Serve on listeners for callers, other nodes and operators.
+func (s *Server) serve(ctx context.Context, listeners []net.Listener) error {
 	handlers := []http.Handler{s.callerHandler(), s.peerHandler(), s.operatorHandler()}
 	servers := make([]*http.Server, len(handlers))
 	serveErrors := make(chan error, len(handlers))
+	callers := listen.New(listeners[0])
 	for i, h := range handlers {
 		servers[i] = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-		go func() { serveErrors <- servers[i].Serve(listeners[i]) }()
+		l := listeners[i]
+		if i == 0 {
+			callers.Attach(servers[i])
+			l = callers
+		}
+		go func() { serveErrors <- servers[i].Serve(l) }()
 	}
 	s.logger.Info("node started", "node", s.settings.Node, "incarnation", s.incarnation)
 	select {
@@ -208,9 +222,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	// Close idle connections and ask callers to reconnect elsewhere while the node drains.
-	servers[0].SetKeepAlivesEnabled(false)
-	until := s.drain()
+	until := s.drain(callers)
 	for _, srv := range servers {
 		s.shutdown(srv, until)
 	}
@@ -244,17 +256,20 @@
 
 // drain announces to the other nodes that this node is leaving, keeps serving for DrainLag
 // until load balancers stop sending it requests, and then waits up to DrainLimit for the
-// calls in flight. It returns when DrainLimit ends.
-func (s *Server) drain() (until time.Time) {
+// calls in flight. Callers are asked to reconnect elsewhere; the connections that they keep
+// idle are closed after DrainLag. It returns when DrainLimit ends.
+func (s *Server) drain(callers *listen.Listener) (until time.Time) {
 	s.logger.Info("node is draining", "node", s.settings.Node)
+	s.draining.Store(true)
 	unlisted := time.Now().Add(s.settings.DrainLag)
 	until = unlisted.Add(s.settings.DrainLimit)
 	s.Post(core.Stop{Unlisted: unlisted, Until: until})
 	time.Sleep(time.Until(unlisted))
 	for time.Now().Before(until) {
+		callers.CloseIdle(time.Now())
 		drained := false
 		s.Query(func(n *core.Node) { drained = n.Drained() })
-		if drained {
+		if drained && callers.Len() == 0 {
 			s.logger.Info("node drained", "node", s.settings.Node)
 			return until
 		}
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"teaselplank/wire"
 )
 
 // newStatusCall returns a call of the service of a test server.
@@ -82,3 +85,100 @@
 		}
 	}
 }
+
+// serveNode serves a node until the context ends. It returns the address for callers and a
+// channel that receives the result.
+func serveNode(ctx context.Context, t *testing.T, node *Server) (addr string, ended chan error) {
+	t.Helper()
+	node.settings.DrainLag = 200 * time.Millisecond
+	var listeners []net.Listener
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- node.serve(ctx, listeners) }()
+	return listeners[0].Addr().String(), ended
+}
+
+// A keptCaller is a caller that keeps its connection open between calls.
+type keptCaller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	addr   string
+}
+
+func dialKept(t *testing.T, addr string) *keptCaller {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &keptCaller{conn, bufio.NewReader(conn), addr}
+}
+
+// call makes a call and reads the whole answer, which may also be that the call failed.
+func (k *keptCaller) call(t *testing.T) error {
+	r := newStatusCall(t, "http://"+k.addr)
+	if err := r.Write(k.conn); err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	response, err := http.ReadResponse(k.reader, r)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if response.Header.Get(wire.HeaderOutcome) == "" {
+		return fmt.Errorf("answer is %d %q, which names no outcome", response.StatusCode, body)
+	}
+	return nil
+}
+
+// A call that arrives on a connection that was kept open must not be cut when the node
+// begins to stop.
+func TestKeptConnectionCutByStop(t *testing.T) {
+	const (
+		rounds      = 5
+		connections = 200
+		interval    = 20 * time.Microsecond
+		stopAfter   = 2 * time.Millisecond
+	)
+	for range rounds {
+		node := startTestServer(t, 0)
+		ctx, stop := context.WithCancel(context.Background())
+		addr, ended := serveNode(ctx, t, node)
+		callers := make([]*keptCaller, connections)
+		for i := range callers {
+			callers[i] = dialKept(t, addr)
+			if err := callers[i].call(t); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := time.Now()
+		results := make(chan error, connections)
+		for i, c := range callers {
+			go func() {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * interval)))
+				results <- c.call(t)
+			}()
+		}
+		time.Sleep(time.Until(start.Add(stopAfter)))
+		stop()
+		for range callers {
+			if err := <-results; err != nil {
+				t.Errorf("call during the stop: %v", err)
+			}
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
