Keep a silent attempt that no other can replace

What callers saw, on the project's own interface: a stream whose upstream pauses for half a second, or a stage that takes three times the 99th percentile of those before it, ended as unknown ("upstream failed") with seconds of its deadline left, if the retry budget was used up or the step had had its attempts.

Entry hosts keep a silent attempt open; the own interface did not.

Change: an attempt that times out is given up only if it can be replaced. Otherwise it goes on, its worker counts as suspect, and the question is asked again one timeout later. The deadline still ends the request.

TestSlowAnswerCutWithoutRetry failed before (stream and stage: unknown) and passes now.

--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -172,6 +172,8 @@
 	startedAt time.Time
 	// lastProgress is when the attempt started or last made progress.
 	lastProgress time.Time
+	// keptAt is when the attempt last timed out and was kept, or zero.
+	keptAt time.Time
 	// firstTokenAt is when the first progress of the stream was reported, or zero.
 	// firstTokenIndex is the Tokens value of that report.
 	firstTokenAt    time.Time
--- a/pipe/pipe_test.go
+++ b/pipe/pipe_test.go
@@ -262,6 +262,65 @@
 	}
 }
 
+// An attempt that is silent for longer than usual must not be cut while no other can take
+// its place: its worker may be slow but sound.
+func TestSlowAnswerCutWithoutRetry(t *testing.T) {
+	// empty uses up the retry budget of a pool.
+	empty := func(sim *simulation, pool string) { sim.runner.pool(pool).retryBudget = 0 }
+	wantDone := func(t *testing.T, sim *simulation) {
+		t.Helper()
+		if got := sim.history.Outcomes(); len(got) != 1 || got[0] != wire.Done {
+			t.Errorf("outcomes are %v, want the answer", got)
+		}
+		if err := verify.CompleteOwnAnswer(&sim.history); err != nil {
+			t.Error(err)
+		}
+	}
+	// passTime passes time in short steps, as ticks do.
+	passTime := func(sim *simulation, d time.Duration) {
+		for range d / (50 * time.Millisecond) {
+			sim.now = sim.now.Add(50 * time.Millisecond)
+			sim.step(Tick{})
+		}
+	}
+	t.Run("stream", func(t *testing.T) {
+		sim := newSimulation()
+		sim.submit(false, 5*time.Second)
+		sim.answer(sim.calls[0])
+		sim.answer(sim.calls[1])
+		stream := sim.calls[2]
+		sim.step(Progress{stream.Ref, 4})
+		empty(sim, "generate")
+		passTime(sim, 3*DefaultConfig().StreamIdleTimeout)
+		sim.answer(stream)
+		wantDone(t, sim)
+	})
+	t.Run("stage", func(t *testing.T) {
+		sim := newSimulation()
+		empty(sim, "encode")
+		sim.submit(false, 10*time.Second)
+		passTime(sim, 2*DefaultConfig().AttemptTimeout)
+		for i := 0; i < len(sim.calls) && i < 3; i++ {
+			sim.answer(sim.calls[i])
+		}
+		wantDone(t, sim)
+	})
+	t.Run("worker that stays silent", func(t *testing.T) {
+		sim := newSimulation()
+		empty(sim, "encode")
+		sim.submit(false, 5*time.Second)
+		silent := sim.calls[0].Worker.ID
+		passTime(sim, DefaultConfig().AttemptTimeout)
+		if w, _ := sim.table.Worker(silent); !w.Suspect(sim.now) {
+			t.Error("silent worker is not suspect")
+		}
+		passTime(sim, 5*time.Second)
+		if got := sim.history.Outcomes(); len(got) != 1 || got[0] != wire.Unknown {
+			t.Errorf("outcomes are %v, want one unknown at the deadline", got)
+		}
+	})
+}
+
 // TestLateAnswer checks that a response to a cancelled attempt is dropped when it
 // arrives after the step has been completed by another attempt.
 func TestLateAnswer(t *testing.T) {
--- a/pipe/retry.go
+++ b/pipe/retry.go
@@ -18,13 +18,14 @@
 		r.end(now, req, answer)
 		return
 	}
-	if req.stepAttempts >= r.config.MaxAttempts || !p.takeRetry(r.config.RetryPercent) {
+	if !r.mayRetry(req) {
 		if req.stepAttempts < r.config.MaxAttempts {
 			r.counts.RetriesDenied++
 		}
 		r.end(now, req, req.failureAnswer(ReasonFailed))
 		return
 	}
+	p.takeRetry(r.config.RetryPercent)
 	r.counts.Retries++
 	if step.Stream && req.nextToken > 0 {
 		r.counts.Resumed++
@@ -33,6 +34,14 @@
 	r.enqueueRetry(now, req)
 }
 
+// mayRetry reports whether the request's step may have another attempt.
+func (r *Runner) mayRetry(req *activeRequest) bool {
+	if req.stepAttempts >= r.config.MaxAttempts {
+		return false
+	}
+	return r.config.RetryPercent < 0 || req.pool().retryBudget >= 1
+}
+
 // failureAnswer returns the answer to a request that ends without a result. The
 // outcome is unknown if an attempt may have reached an upstream.
 func (req *activeRequest) failureAnswer(reason Reason) Answer {
@@ -55,17 +64,11 @@
 	}
 }
 
-// takeRetry takes one retry from the budget and reports whether there was one. The
-// budget is unlimited if percent is negative.
-func (p *pool) takeRetry(percent int) bool {
-	if percent < 0 {
-		return true
-	}
-	if p.retryBudget < 1 {
-		return false
+// takeRetry takes one retry from the budget, which is unlimited if percent is negative.
+func (p *pool) takeRetry(percent int) {
+	if percent >= 0 {
+		p.retryBudget--
 	}
-	p.retryBudget--
-	return true
 }
 
 // hedge starts a second attempt in parallel to a slow one if no step is queued, the
--- a/pipe/timeout.go
+++ b/pipe/timeout.go
@@ -44,7 +44,11 @@
 // timeoutAt returns the time from which an attempt without further progress counts as
 // silent.
 func (r *Runner) timeoutAt(req *activeRequest, a *attempt) time.Time {
-	return a.lastProgress.Add(r.attemptTimeout(req.pool(), req.step(), !a.firstTokenAt.IsZero()))
+	since := a.lastProgress
+	if a.keptAt.After(since) {
+		since = a.keptAt
+	}
+	return since.Add(r.attemptTimeout(req.pool(), req.step(), !a.firstTokenAt.IsZero()))
 }
 
 // scheduleCheck sets the request's timer to its deadline or to the earliest timeout of
@@ -65,7 +69,8 @@
 }
 
 // checkTimeouts ends a request whose deadline has passed, and fails its attempts that
-// have timed out.
+// have timed out. It keeps an attempt that no other can replace, as its worker may be slow
+// but sound, and asks again later.
 func (r *Runner) checkTimeouts(now time.Time, req *activeRequest) {
 	req.nextCheck = time.Time{}
 	if !now.Before(req.spec.Deadline) {
@@ -77,6 +82,10 @@
 		if req.findAttempt(a.ref) == nil || req.step().AtMostOnce || now.Before(r.timeoutAt(req, &a)) {
 			continue
 		}
+		if len(req.attempts) == 1 && !r.mayRetry(req) {
+			r.keep(now, req.findAttempt(a.ref))
+			continue
+		}
 		if r.config.Cancel {
 			r.emit(Cancel{Ref: a.ref, Worker: a.worker})
 		}
@@ -84,3 +93,10 @@
 	}
 	r.scheduleCheck(req)
 }
+
+// keep lets an attempt that has timed out go on. Its worker counts as suspect, so that
+// others get the next calls.
+func (r *Runner) keep(now time.Time, a *attempt) {
+	a.keptAt = now
+	r.table.MarkSilent(now, a.worker.ID)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -292,6 +292,14 @@
 	ConnectionFailed
 )
 
+// MarkSilent records that a call to a worker takes longer than it should, but goes on.
+func (t *Table) MarkSilent(now time.Time, id string) {
+	if w := t.byID[id]; w != nil {
+		w.lowerLimit()
+		w.health.Fail(now, t.config.Backoff)
+	}
+}
+
 // FinishCall records the end of a call counted by BeginCall.
 func (t *Table) FinishCall(now time.Time, id string, end CallEnd) {
 	w := t.byID[id]
@@ -303,11 +311,10 @@
 	case Answered:
 		w.health.Clear()
 		w.raiseLimit()
-	case Overloaded, TimedOut:
+	case Overloaded:
 		w.lowerLimit()
-		if end == TimedOut {
-			w.health.Fail(now, t.config.Backoff)
-		}
+	case TimedOut:
+		t.MarkSilent(now, id)
 	case ConnectionFailed:
 		w.health.Fail(now, t.config.Backoff)
 	}
