Stop a node gracefully at SIGHUP

What callers saw, on the project's own interface: a node that gets SIGHUP, as from a terminal that closes or a reload, ended at once and cut its calls, also while it was draining after a SIGTERM.

Cause: only SIGTERM and SIGINT were handled; SIGHUP had its default action.

Change: SIGHUP stops the node as SIGTERM does. Later signals change nothing, as before.

--- a/cmd/teaselplank/cmds/serve.go
+++ b/cmd/teaselplank/cmds/serve.go
@@ -13,7 +13,7 @@
 	"teaselplank/server"
 )
 
-// serve runs a node until it receives SIGTERM or SIGINT.
+// serve runs a node until it receives SIGTERM, SIGINT or SIGHUP.
 type serve struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file."`
 	Check    bool   `help:"Check the settings and exit."`
@@ -29,7 +29,7 @@
 		fmt.Fprintf(s.out, "%s: settings are valid\n", c.Settings)
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	platform := infra.NewClient(settings.PlatformURL, settings.PlatformTimeout)
 	node, err := server.New(server.Options{
--- a/cmd/teaselplank/process_test.go
+++ b/cmd/teaselplank/process_test.go
@@ -108,6 +108,33 @@
 	c.checkRuns("filing-0", key, 1)
 }
 
+// A signal other than the first SIGTERM must not end a node while it has calls.
+func TestCallCutBySignal(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"hangup":                  {syscall.SIGHUP},
+		"second request to stop":  {syscall.SIGTERM, syscall.SIGTERM},
+		"hangup during the drain": {syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			stream := make(chan error, 1)
+			go func() { stream <- c.callPipeline(0, "signal") }()
+			c.waitForBusyUpstream("generate-0")
+			for _, s := range signals {
+				c.nodes[0].signal(s)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if err := <-stream; err != nil {
+				t.Errorf("stream failed: %v", err)
+			}
+			<-c.nodes[0].exited
+			if code := c.nodes[0].command.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("exit status is %d", code)
+			}
+		})
+	}
+}
+
 // waitForBusyUpstream waits until an upstream runs a call.
 func (c *cluster) waitForBusyUpstream(id string) {
 	c.t.Helper()
