--- a/relay/client.go
+++ b/relay/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"teaselplank/batch"
+	"teaselplank/listen"
 	"teaselplank/proxy"
 	"teaselplank/trace"
 )
@@ -35,6 +36,15 @@
 	x.run()
 }
 
+// connectionOf describes the connection of a request that is being served.
+func connectionOf(r *http.Request) proxy.Connection {
+	c := listen.ConnOf(r)
+	if c == nil {
+		return proxy.Connection{}
+	}
+	return proxy.Connection{Age: c.Age(), Earlier: c.Requests() - 1}
+}
+
 func (s *Server) maxBodyBytes() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,10 +166,11 @@
 	return true
 }
 
-// endEvent returns the event for a context that is done.
+// endEvent returns the event for a context that is done. It cuts the answer to a client that
+// has disconnected, since a client that has only stopped sending still reads.
 func (x *exchange) endEvent() proxy.Event {
 	if x.httpRequest.Context().Err() != nil {
-		x.finished = true
+		x.finished, x.aborted = true, true
 		return proxy.ClientDisconnected{Number: x.request.Number}
 	}
 	return proxy.TimedOut{Number: x.request.Number, ResponseStarted: x.headSent}
--- a/server/callers.go
+++ b/server/callers.go
@@ -75,7 +75,18 @@
 	mux.HandleFunc("POST /v1/keys", s.serveKey)
 	mux.HandleFunc("GET /livez", serveLive)
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	return mux
+	return s.closeWhileDraining(mux)
+}
+
+// closeWhileDraining wraps a handler so that callers of a draining node connect elsewhere
+// for their next call.
+func (s *Server) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func serveLive(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") }
@@ -200,7 +211,8 @@
 	}{key})
 }
 
-// runCall submits a call to the node, waits for its answer and writes it.
+// runCall submits a call to the node, waits for its answer and writes it. If there is
+// none, it closes the connection.
 func (s *Server) runCall(w http.ResponseWriter, r *http.Request, c core.Call, stream bool) {
 	waiter := s.addWaiter(c.ID)
 	defer s.removeWaiter(c.ID)
@@ -215,7 +227,8 @@
 		reply, ok = s.awaitReply(r, c.ID, waiter)
 	}
 	if !ok {
-		return
+		// Closes the connection; net/http would end the answer as if it were complete.
+		panic(http.ErrAbortHandler)
 	}
 	s.metrics.observeCall(c, time.Since(started))
 	if !stream {
