--- a/relay/relay.go
+++ b/relay/relay.go
@@ -335,6 +335,8 @@
 	if err := clients.Listener.Close(); err != nil {
 		s.logger.Warn("cannot close the listener for clients", "error", err.Error())
 	}
+	// A connection that was just accepted is counted now.
+	time.Sleep(drainPollInterval)
 }
 
 func (s *Server) requestCount() int {
