Keep the call of a silent stage worker open

Callers saw 503 ("stage failed", or "stage cannot finish in time") when a sound stage worker was silent for 1.5 s, though it would have ended its pieces in time.

Cause: a stage call was closed after 5 times its expected time and 0.25 s, before its pieces had another place. Its job then waited for the same worker, which was suspect, and was refused when a whole new call no longer fitted before the deadline.

Change: - The old timeout only marks the call as overdue. It stays open until its result comes, its connection fails, or the deadline of the last of its jobs has passed. - Its worker is suspect, once for all calls of one silence, and the silence is not counted as slowness. The overdue call keeps its slot. Besides, the worker gets one probe, on a new connection, and nothing more until it answers; with the probe overdue as well it does not count as usable in admission. - The unfinished pieces are queued once more, for another worker, unless their inputs were freed or a second worker would be too late. The first result of a piece is used, a second one is freed where it is. A piece that is still at a worker never refuses its job: failures of the second call only end that call. - If the worker answers a later call, the overdue one was lost with its connection: 40 ms later it gives up its slot, and its pieces are sent again.

Why this works: a job is refused only when none of its calls can end it any more, and a piece leaves a call only for its result, its failure, or a proof that the call is lost.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -29,6 +29,8 @@
 	// when to remove them.
 	upcoming       map[Ref]upcomingStage
 	upcomingExpiry queue.Timers[Ref]
+	// callTimers holds the numbers of calls, and when they are overdue or lost.
+	callTimers queue.Timers[int]
 	// inputTimers holds the jobs whose inputs are to be freed, and when.
 	inputTimers queue.Timers[Ref]
 	// recentlyFreed holds the handles of freed results, so that none is freed twice.
@@ -45,21 +47,27 @@
 type Counts struct {
 	Submitted, Done, Refused, Withdrawn int64
 	Calls, Items, Crossed               int64
-	Full, Broken, Repeated              int64
+	Full, Broken, Repeated, Overdue     int64
 	NoRoom, Gone, Errored, Expired      int64
 }
 
 type job struct {
 	Job
-	// pending holds the indexes of the pieces to be sent.
+	// pending holds the indexes of the pieces to be sent, each once. Among them are
+	// pieces of overdue calls, which are sent a second time if a worker is free before
+	// the first call ends.
 	pending []int
 	results []Result
+	// attempts holds the state of each piece at workers.
+	attempts []attempts
 	// remaining is the number of pieces without a result.
 	remaining int
 	// failures counts the failures of the job's pieces at workers.
 	failures int
 	// sent is true once a piece has been sent.
 	sent bool
+	// inputsFreed is true if inputs may be gone, so that no piece can be repeated.
+	inputsFreed bool
 	// admittedAt is when the job was admitted, and expected the estimate of its
 	// duration.
 	admittedAt time.Time
@@ -67,11 +75,14 @@
 }
 
 type call struct {
+	number int
 	worker *worker
 	pieces []piece
 	sentAt time.Time
 	// expected is the duration of the call at full speed.
 	expected time.Duration
+	// overdue is true once the call has taken much longer. It may still end.
+	overdue bool
 }
 
 type piece struct {
@@ -89,6 +100,7 @@
 		s.upcoming = make(map[Ref]upcomingStage)
 	}
 	s.effects = nil
+	s.checkCalls(now)
 	switch e := event.(type) {
 	case Submit:
 		s.submit(now, e.Job)
@@ -188,7 +200,7 @@
 	s.queryMemory(now, p)
 	s.emit(Admitted{Ref: j.Ref, Queued: p.queued(""), Upcoming: p.upcoming, Workers: len(p.usable(now)), Estimate: done})
 	s.addUpcoming(j)
-	admitted := &job{Job: j, results: make([]Result, j.Pieces), remaining: j.Pieces, admittedAt: now, expected: expected}
+	admitted := &job{Job: j, results: make([]Result, j.Pieces), attempts: make([]attempts, j.Pieces), remaining: j.Pieces, admittedAt: now, expected: expected}
 	for i := range j.Pieces {
 		admitted.pending = append(admitted.pending, i)
 	}
--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -54,7 +54,12 @@
 		if !j.Started && !j.sent {
 			limit = j.Due
 		}
-		if earliest.After(limit) && len(j.pending) > 0 {
+		if !earliest.After(limit) {
+			continue
+		}
+		// A second worker would be too late, but the first one may still be in time.
+		j.dropSecondAttempts()
+		if len(j.pending) > 0 {
 			s.refuse(j, ReasonLate, p.fullCallTime())
 		}
 	}
@@ -95,11 +100,10 @@
 			if (j.Zone == w.upstream.Zone) != local || !local && !p.crossesZone(now, j, w) {
 				continue
 			}
-			for len(j.pending) > 0 && len(c.pieces) < limit && j.ResultBytes <= space {
+			for len(c.pieces) < limit && j.ResultBytes <= space && c.add(j) {
 				space -= j.ResultBytes
-				c.add(j)
 			}
-			spaceLimited = spaceLimited || len(j.pending) > 0 && len(c.pieces) < limit
+			spaceLimited = spaceLimited || len(c.pieces) < limit && j.nextFor(w) >= 0
 		}
 	}
 	p.fill.record(now, len(c.pieces), p.batch.MaxPieces, spaceLimited)
@@ -110,10 +114,21 @@
 	return true
 }
 
-// add moves the next pending piece of a job into the call.
-func (c *call) add(j *job) {
-	c.pieces = append(c.pieces, piece{job: j, index: j.pending[0], bytes: j.ResultBytes})
-	j.pending = j.pending[1:]
+// add moves the next pending piece of a job that the call's worker may do into the call.
+// It reports whether there was one.
+func (c *call) add(j *job) bool {
+	i := j.nextFor(c.worker)
+	if i < 0 {
+		return false
+	}
+	c.addPending(j, i)
+	return true
+}
+
+// addPending moves the pending piece at position i into the call.
+func (c *call) addPending(j *job, i int) {
+	c.pieces = append(c.pieces, piece{job: j, index: j.pending[i], bytes: j.ResultBytes})
+	j.pending = slices.Delete(j.pending, i, i+1)
 }
 
 // needsProbe reports whether the worker gets only a probe, since it has failed or is
@@ -123,19 +138,34 @@
 }
 
 // probe sends one piece to a worker that failed or was slow. The piece is of the job
-// that can wait longest.
+// that can wait longest. If there is no other worker and no other piece, it is one of an
+// overdue call of this worker, since the call may have been lost with its connection.
 func (s *Scheduler) probe(now time.Time, p *pool, c *call) {
 	c.worker.lastProbeAt = now
 	space := c.worker.space(now)
 	for _, j := range slices.Backward(p.queue) {
-		if len(j.pending) > 0 && j.ResultBytes <= space {
-			c.add(j)
+		if j.ResultBytes <= space && c.add(j) {
+			s.send(now, p, c)
+			return
+		}
+	}
+	if p.hasOther(now, c.worker) {
+		return
+	}
+	for _, j := range slices.Backward(p.queue) {
+		if j.ResultBytes <= space && len(j.pending) > 0 {
+			c.addPending(j, 0)
 			s.send(now, p, c)
 			return
 		}
 	}
 }
 
+// hasOther reports whether there is a usable worker besides the given one.
+func (p *pool) hasOther(now time.Time, w *worker) bool {
+	return slices.ContainsFunc(p.workers, func(other *worker) bool { return other != w && other.usable(now) })
+}
+
 // maxPieces returns how many pieces the worker should take: as many as fit into a call,
 // or a share of them if other workers in its zone are idle, since a call of fewer pieces
 // ends sooner.
@@ -183,11 +213,11 @@
 	return done.After(j.Due)
 }
 
-// A call times out after callTimeoutFactor times its expected duration plus
-// callTimeoutGrace, so that the first call of a slow worker can still end.
+// A call is overdue after overdueFactor times its expected duration plus overdueGrace, so
+// that the first call of a slow worker is not.
 const (
-	callTimeoutFactor = 5
-	callTimeoutGrace  = 250 * time.Millisecond
+	overdueFactor = 5
+	overdueGrace  = 250 * time.Millisecond
 )
 
 func (s *Scheduler) send(now time.Time, p *pool, c *call) {
@@ -196,11 +226,17 @@
 	s.counts.Items += int64(len(c.pieces))
 	c.expected = callTime(p.batch, len(c.pieces))
 	c.worker.calls = append(c.worker.calls, c)
-	s.calls[s.lastCallNumber] = c
-	effect := Call{Number: s.lastCallNumber, Worker: c.worker.upstream, Timeout: callTimeoutFactor*c.expected + callTimeoutGrace}
+	c.number = s.lastCallNumber
+	s.calls[c.number] = c
+	effect := Call{Number: c.number, Worker: c.worker.upstream}
+	overdueAt := now.Add(overdueFactor*c.expected + overdueGrace)
+	s.callTimers.Add(overdueAt, c.number)
+	timeoutAt := overdueAt
 	for _, piece := range c.pieces {
 		j := piece.job
 		j.sent = true
+		j.attempts[piece.index].add(c)
+		timeoutAt = latest(timeoutAt, j.Deadline)
 		if j.SoleConsumer && len(j.Inputs) > 0 && len(j.pending) == 0 {
 			s.inputTimers.Add(now.Add(inputFetchTime), j.Ref)
 		}
@@ -213,5 +249,6 @@
 			Ref: j.Ref, Piece: piece.index, Key: j.Key, Inputs: j.Inputs, TimeLeft: j.Deadline.Sub(now),
 		})
 	}
+	effect.Timeout = timeoutAt.Sub(now)
 	s.emit(effect)
 }
--- a/batch/event.go
+++ b/batch/event.go
@@ -189,7 +189,8 @@
 type Effect interface{ BatchEffect() }
 
 type (
-	// Call sends pieces to a worker. CallEnded reports its end.
+	// Call sends pieces to a worker. CallEnded reports its end. The timeout is not before
+	// the deadline of any of its items: a worker may be silent for a while and go on.
 	Call struct {
 		Number int
 		Worker fleet.Upstream
@@ -198,6 +199,16 @@
 		Crossed int
 		Timeout time.Duration
 	}
+	// Overdue reports that a call takes much longer than expected. It stays open.
+	// Repeated is the number of its pieces that another worker may do as well. First and
+	// Last name the jobs of its first and last piece.
+	Overdue struct {
+		Call        int
+		Worker      fleet.Upstream
+		Pieces      int
+		Repeated    int
+		First, Last Ref
+	}
 	// Free frees results at a worker. FreeEnded reports its end; a failed Free is not
 	// retried.
 	Free struct {
@@ -237,6 +248,7 @@
 )
 
 func (Call) BatchEffect()        {}
+func (Overdue) BatchEffect()     {}
 func (Free) BatchEffect()        {}
 func (QueryMemory) BatchEffect() {}
 func (Done) BatchEffect()        {}
--- a/batch/free.go
+++ b/batch/free.go
@@ -69,20 +69,24 @@
 			continue
 		}
 		for _, handle := range j.Inputs {
-			s.freeIfLowOnSpace(handle)
+			if s.freeIfLowOnSpace(handle) {
+				j.inputsFreed = true
+			}
 		}
 	}
 }
 
 // freeIfLowOnSpace frees a result whose worker is low on memory. At any other worker
 // the result stays until the job that uses it ends, since the job may have to fetch it
-// again.
-func (s *Scheduler) freeIfLowOnSpace(handle string) {
+// again. It reports whether it freed the result.
+func (s *Scheduler) freeIfLowOnSpace(handle string) bool {
 	for _, p := range s.pools {
 		for _, w := range p.workers {
 			if _, ok := w.held[handle]; ok && w.lowOnSpace() {
 				s.free(w, handle)
+				return true
 			}
 		}
 	}
+	return false
 }
--- a/batch/outcome.go
+++ b/batch/outcome.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxFailures bounds the failures of a job's pieces, as a multiple of their number.
 const maxFailures = 3
@@ -13,6 +16,9 @@
 	}
 	delete(s.calls, e.Call)
 	c.worker.finish(now, c, e.Failure)
+	if e.Failure == NoFailure {
+		s.passOver(now, c)
+	}
 	if e.Failure == ConnectTimeout {
 		s.markZoneSuspect(now, c.worker.upstream.Zone)
 	}
@@ -24,6 +30,7 @@
 	}
 	for i, piece := range c.pieces {
 		c.worker.reservedBytes -= piece.bytes
+		piece.attempts().remove(c)
 		outcome := Outcome{}
 		if e.Failure == NoFailure {
 			outcome = e.Outcomes[i]
@@ -65,8 +72,8 @@
 		w.addResult(now, o.Handle, p.bytes)
 	}
 	j := p.job
-	if s.jobs[j.Ref] != j {
-		// The job has been dropped or replaced; nobody needs the result.
+	if !s.needs(p) {
+		// The job has been dropped or replaced, or another worker was first.
 		s.free(w, o.Handle)
 		return
 	}
@@ -83,12 +90,13 @@
 		s.requeue(now, p, false)
 	case o.Failure == InputLost:
 		s.counts.Gone++
-		s.refuse(j, ReasonInputLost, 0)
+		s.fail(p, ReasonInputLost, 0)
 	case o.Failure == Expired:
 		s.counts.Expired++
-		s.refuse(j, ReasonLate, s.pools[j.Service].fullCallTime())
+		s.fail(p, ReasonLate, s.pools[j.Service].fullCallTime())
 	default:
 		j.results[p.index] = Result{Handle: o.Handle, Addr: w.upstream.Addr, Zone: w.upstream.Zone}
+		j.removePending(p.index)
 		j.remaining--
 		if j.remaining == 0 {
 			s.counts.Done++
@@ -98,19 +106,30 @@
 	}
 }
 
-// requeue puts a piece back into the queue, or refuses its job after too many failures.
+// fail refuses the job of a piece that cannot be repeated, unless the piece is still at
+// another worker.
+func (s *Scheduler) fail(p piece, reason Reason, retryAfter time.Duration) {
+	if len(p.attempts().calls) == 0 {
+		s.refuse(p.job, reason, retryAfter)
+	}
+}
+
+// requeue puts a piece back into the queue unless another worker is expected to do it, or
+// refuses its job after too many failures.
 func (s *Scheduler) requeue(now time.Time, p piece, failed bool) {
 	j := p.job
 	if failed {
 		j.failures++
 	}
 	if j.failures > maxFailures*j.Pieces {
-		s.refuse(j, ReasonFailed, 0)
+		s.fail(p, ReasonFailed, 0)
+		return
+	}
+	if p.attempts().inTime() || slices.Contains(j.pending, p.index) {
 		return
 	}
 	s.counts.Repeated++
-	if len(j.pending) == 0 {
-		pool := s.pools[j.Service]
+	if pool := s.pools[j.Service]; !slices.Contains(pool.queue, j) {
 		pool.queue = append(pool.queue, j)
 	}
 	j.pending = append(j.pending, p.index)
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -12,7 +12,8 @@
 type worker struct {
 	upstream fleet.Upstream
 	batch    fleet.Batch
-	// calls holds the calls in flight, at most slots of them.
+	// calls holds the calls in flight that occupy the worker: at most slots of them, and
+	// a probe if one of them is overdue.
 	calls []*call
 	// slowness is a moving average of the ratio of actual to expected call durations.
 	slowness float64
@@ -68,23 +69,36 @@
 
 // finish handles the end of a call.
 func (w *worker) finish(now time.Time, c *call, failure Failure) {
-	w.calls = slices.DeleteFunc(w.calls, func(other *call) bool { return other == c })
+	w.remove(c)
 	switch failure {
 	case Full:
 		w.pausedUntil = now.Add(fullPause)
 	case Unreachable, ConnectTimeout, ConnectionFailed:
-		w.health.Fail(now, backoff)
+		if !c.overdue { // An overdue call has been counted.
+			w.health.Fail(now, backoff)
+		}
 	default:
-		w.health.Clear()
 		w.lastResponse = now
+		if c.overdue {
+			// The worker was silent or is very slow. The next call, a probe, shows which.
+			w.health.Hold(now)
+			return
+		}
+		w.health.Clear()
 		ratio := float64(now.Sub(c.sentAt)) / float64(c.expected)
 		w.slowness += slownessWeight * (max(ratio, 1) - w.slowness)
 	}
 }
 
-// usable reports whether the worker can be sent calls at all.
+// remove removes a call that occupies the worker no longer.
+func (w *worker) remove(c *call) {
+	w.calls = slices.DeleteFunc(w.calls, func(other *call) bool { return other == c })
+}
+
+// usable reports whether the worker can be sent calls at all. It cannot if not even a probe
+// was answered.
 func (w *worker) usable(now time.Time) bool {
-	return !w.upstream.Draining && !w.pause.Active(now) && !w.health.Suspect(now)
+	return !w.upstream.Draining && !w.pause.Active(now) && !w.health.Suspect(now) && w.overdueCalls() <= w.slots()
 }
 
 // pauseWorker records that a worker wants no calls for some time.
@@ -97,8 +111,27 @@
 // slots returns the number of calls that the worker runs at once.
 func (w *worker) slots() int { return max(w.batch.MaxRunning, 1) }
 
-// freeSlots returns the number of calls that the worker can run besides those in flight.
-func (w *worker) freeSlots() int { return w.slots() - len(w.calls) }
+// freeSlots returns the number of calls that the worker can be sent besides those in
+// flight. A failed worker with an overdue call can be sent one more, as a probe, since only
+// the connection of that call may be lost.
+func (w *worker) freeSlots() int {
+	free := w.slots() - len(w.calls)
+	if w.health.HasFailed() && w.overdueCalls() > 0 {
+		free++
+	}
+	return free
+}
+
+// overdueCalls returns the number of overdue calls that occupy the worker.
+func (w *worker) overdueCalls() int {
+	count := 0
+	for _, c := range w.calls {
+		if c.overdue {
+			count++
+		}
+	}
+	return count
+}
 
 // totalSlots returns the number of calls that all workers together run at once.
 func totalSlots(workers []*worker) int {
@@ -152,8 +185,8 @@
 
 // addResult records a result at the worker.
 func (w *worker) addResult(now time.Time, handle string, bytes int64) {
+	w.usedBytes += bytes - w.held[handle].bytes
 	w.held[handle] = heldResult{bytes: bytes, expires: now.Add(w.batch.ResultTTL)}
-	w.usedBytes += bytes
 }
 
 // otherOwnerResults is the handle under which held counts the results of another owner.
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -181,6 +181,18 @@
 	}
 }
 
+// closeIdle closes the idle connections to an upstream.
+func (c *connPool) closeIdle(u fleet.Upstream) {
+	dest := endpoint{u.ID, u.Born, u.Addr}
+	c.mu.Lock()
+	list := c.idle[dest]
+	delete(c.idle, dest)
+	c.mu.Unlock()
+	for _, unused := range list {
+		unused.Close()
+	}
+}
+
 // revalidate stops monitoring an idle connection and reports whether it is usable:
 // not expired, open, and without unsolicited bytes.
 func (c *conn) revalidate() bool {
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"teaselplank/fleet"
 )
 
 // tolerated is the silence that must not end a connection.
@@ -91,3 +93,20 @@
 		t.Fatal(err)
 	}
 }
+
+// A worker whose idle connections have all become silent must be reached by a new one
+// after its first call is overdue.
+func TestProbeOnSilentConnection(t *testing.T) {
+	first, _ := connectUpstream(t)
+	pool, dest := first.pool, first.endpoint
+	upstream := fleet.Upstream{ID: dest.id, Born: dest.born, Addr: dest.addr}
+	first.putBack(nil)
+	pool.closeIdle(upstream)
+	if c, err := pool.get(t.Context(), upstream); err == nil {
+		c.Close()
+		t.Error("got the idle connection, want a new one, which nobody accepts")
+	}
+	if err := <-first.peekResult; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("idle connection ends with %v, want it closed", err)
+	}
+}
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -81,6 +81,11 @@
 		switch e := e.(type) {
 		case batch.Call:
 			go o.sendCall(e)
+		case batch.Overdue:
+			// All connections to the worker may be lost. The probe makes a new one.
+			o.server.conns.closeIdle(e.Worker)
+			o.server.logger.Warn("stage call is overdue", "call", e.Call, "service", e.Worker.Service, "worker", e.Worker.ID,
+				"zone", e.Worker.Zone, "pieces", e.Pieces, "repeated", e.Repeated, "first", e.First.Request, "last", e.Last.Request)
 		case batch.Free:
 			go o.freeResults(e)
 		case batch.QueryMemory:
@@ -155,7 +160,7 @@
 		return
 	}
 	o.server.metrics.observeCall(c, failure, time.Since(started))
-	o.server.logger.Info("stage call", "service", c.Worker.Service, "worker", c.Worker.ID, "zone", c.Worker.Zone,
+	o.server.logger.Info("stage call", "call", c.Number, "service", c.Worker.Service, "worker", c.Worker.ID, "zone", c.Worker.Zone,
 		"pieces", len(c.Items), "crossed", c.Crossed, "first", c.Items[0].Ref.Request, "last", c.Items[len(c.Items)-1].Ref.Request,
 		"took_ms", time.Since(started).Milliseconds(), "failure", string(failure))
 	o.step(batch.CallEnded{Call: c.Number, Outcomes: outcomes, Failure: failure})
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -98,3 +98,48 @@
 		t.Errorf("truncated answer ends without an error: %d %q", r.status, r.body)
 	}
 }
+
+// A request whose stage workers are silent for a while and go on must get its answer, sooner
+// if one of them is not silent. The results that are not used must be freed.
+func TestStageLostToSilence(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		silent  []string
+		maxTime time.Duration
+	}{
+		{"all workers", []string{"encode-a", "encode-b"}, stand.PauseTime + time.Second},
+		{"the worker in one zone", []string{"encode-a"}, stand.PauseTime},
+		{"the worker in the other zone", []string{"encode-b"}, stand.PauseTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 1)
+			for _, id := range c.silent {
+				d.workers[id].SetFault(stand.FaultPause)
+			}
+			started := time.Now()
+			r := d.askAs(d.nodes[0], "silent", stand.PathStream)
+			wantWhole(t, r, stand.PathStream)
+			if took := time.Since(started); took > c.maxTime {
+				t.Errorf("answer took %s, want %s at most", took, c.maxTime)
+			}
+			d.await("the silent workers have gone on", func() bool {
+				calls := 0
+				for _, p := range d.nodes[0].server.owner.pools(time.Now()) {
+					calls += p.Calls
+				}
+				return calls == 0
+			})
+			d.await("no result is left", func() bool { return d.heldResults() == 0 })
+			d.wantRuns("silent", stand.ServiceEncode, 2, 4) // Each of two pieces at most twice.
+		})
+	}
+}
+
+// heldResults returns the number of results that the workers keep.
+func (d *deployment) heldResults() int {
+	held := 0
+	for _, w := range d.workers {
+		held += w.HeldResults()
+	}
+	return held
+}
