Ignore cases of unknown weight

A record of another writer in the stream of cases, with a weight of 6 or more and a key that fits, held all requests with its part back on all hosts, without any crash: the weight was added to the sum as it was. Found by reading; TestCaseOfUnknownWeight failed with two cases added and the request held back.

Only the two weights that hosts write count now.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -104,9 +104,10 @@
 }
 
 // Add adds a case. It returns the cases of the part that must be refuted at other nodes
-// for it: those before the last completed response.
+// for it: those before the last completed response. Cases of unknown weights, which other
+// writers may have shared, are not added.
 func (d *Detector) Add(now time.Time, c Case) (refuted []Case) {
-	if c.Part == "" || c.Weight <= Refuted {
+	if c.Part == "" || c.Weight != Waiting && c.Weight != Begun {
 		return nil
 	}
 	s := d.suspect(now, c.Part)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -224,6 +224,18 @@
 	}
 }
 
+// A record of another writer must not hold requests back by itself.
+func TestCaseOfUnknownWeight(t *testing.T) {
+	var d Detector
+	for _, w := range []Weight{-1, Begun + 1, poisonWeight} {
+		crash(&d, int(w), w, "p")
+	}
+	if got := len(d.Cases()); got != 0 {
+		t.Errorf("%d cases of unknown weights are added, want none", got)
+	}
+	wantMatch(t, &d, false, "p")
+}
+
 // Whatever crashes upstreams, a request is held back only for parts that were in a crash,
 // and a part that was in all crashes and never in a completed response is found.
 func TestFindsPart(t *testing.T) {
