Keep parts that are held back when many others have cases

After a crash of many upstreams with many requests, the cases of more than 1,024 other parts displaced a part that crashes upstreams on hosts that had not seen a request with it for a moment, and requests with it reached upstreams again from there. Found by reading; TestHeldPartDisplaced failed.

Parts with the weight to be held back are now replaced after all others.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -103,6 +103,10 @@
 	return sum
 }
 
+// poisonous reports whether requests with the part are held back, unless another part
+// explains its cases.
+func (s *suspect) poisonous() bool { return s.weight() >= poisonWeight }
+
 // Add adds a case. It returns the cases of the part that must be refuted at other nodes
 // for it: those before the last completed response. Cases of unknown weights, which other
 // writers may have shared, are not added.
@@ -130,7 +134,7 @@
 }
 
 // suspect returns the entry of a part. If there are too many, it replaces the one that was
-// seen least recently.
+// seen least recently, but one that may be held back only if all others may be, too.
 func (d *Detector) suspect(now time.Time, part string) *suspect {
 	if s := d.suspects[part]; s != nil {
 		return s
@@ -139,16 +143,26 @@
 		d.suspects = make(map[string]*suspect)
 	}
 	if len(d.suspects) >= maxSuspects {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), func(a, b string) int {
-			return cmp.Or(d.suspects[a].lastSeen.Compare(d.suspects[b].lastSeen), cmp.Compare(a, b))
-		})
-		delete(d.suspects, oldest)
+		delete(d.suspects, slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), d.compareNeed))
 	}
 	s := &suspect{cases: make(map[Process]Weight), refuted: make(map[Process]bool), lastSeen: now}
 	d.suspects[part] = s
 	return s
 }
 
+// compareNeed orders parts by how much they are needed: those that may be held back last,
+// and of the others those that were seen last.
+func (d *Detector) compareNeed(a, b string) int {
+	s, o := d.suspects[a], d.suspects[b]
+	if s.poisonous() != o.poisonous() {
+		if s.poisonous() {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(s.lastSeen.Compare(o.lastSeen), cmp.Compare(a, b))
+}
+
 // Withdraw removes the cases of a process, which has not ended.
 func (d *Detector) Withdraw(p Process) {
 	for part, s := range d.suspects {
@@ -313,7 +327,7 @@
 func (d *Detector) group() {
 	d.groups = nil
 	for part, s := range d.suspects {
-		if s.weight() < poisonWeight {
+		if !s.poisonous() {
 			continue
 		}
 		if g, first := d.inseparable(part, s); first {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// Many other parts must not displace one that requests are held back for.
+func TestHeldPartDisplaced(t *testing.T) {
+	var d Detector
+	for i := range 3 {
+		crash(&d, i, Begun, "bad")
+	}
+	for i := range 2 * maxSuspects {
+		d.Add(start.Add(time.Second), Case{Part: fmt.Sprint("p", i), Process: process(9), Weight: Waiting})
+	}
+	wantMatch(t, &d, true, "bad")
+	if got := len(d.suspects); got > maxSuspects {
+		t.Errorf("%d parts are suspected, want %d at most", got, maxSuspects)
+	}
+}
+
 // A record of another writer must not hold requests back by itself.
 func TestCaseOfUnknownWeight(t *testing.T) {
 	var d Detector
