Let a waiting part explain no crash at a beginning response

A part whose requests only waited at the processes that ended explained the part whose responses had begun there, if it had cases at one more process: nothing was held back then, as its own weight did not suffice. With the same processes, only requests with both parts were held back. Engines that are busy always have sound requests waiting, so that after a start of all hosts a frequent part covered the one at fault. Found by reading; two subtests of TestMatch failed.

A part now explains another one only if it has each of its cases with the same weight at least. An explaining part has then always the weight to be held back itself.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -4,8 +4,8 @@
 // A case is one process of an upstream that ended while it had a request with a part. A
 // part with cases at several processes is poisonous, unless responses to other requests
 // with it were completed meanwhile. Parts that were in the same requests at all crashes
-// cannot be told apart, so only requests with all of them are held back. A part that has
-// cases at some of the processes of another part is explained by that one.
+// cannot be told apart, so only requests with all of them are held back. A part is explained
+// by another one that has all its cases and more, none with a lower weight.
 //
 // The types are plain data without a clock. They are not safe for concurrent use.
 package poison
@@ -337,15 +337,14 @@
 	slices.SortFunc(d.groups, slices.Compare)
 }
 
-// inseparable returns the parts with cases at the same processes as the given one, in
-// order. It returns false if another part explains its cases, or if the part is not the
-// first of the group.
+// inseparable returns the parts with the same cases as the given one, in order. It returns
+// false if another part explains its cases, or if the part is not the first of the group.
 func (d *Detector) inseparable(part string, s *suspect) (group []string, first bool) {
 	for other, o := range d.suspects {
 		if !coversAll(o.cases, s.cases) {
 			continue
 		}
-		if len(o.cases) > len(s.cases) {
+		if !coversAll(s.cases, o.cases) {
 			return nil, false
 		}
 		group = append(group, other)
@@ -354,13 +353,13 @@
 	return group, group[0] == part
 }
 
-// coversAll reports whether a has all processes of b.
+// coversAll reports whether a has all cases of b, none of them with a lower weight.
 func coversAll(a, b map[Process]Weight) bool {
 	if len(a) < len(b) {
 		return false
 	}
-	for p := range b {
-		if _, ok := a[p]; !ok {
+	for p, w := range b {
+		if a[p] < w {
 			return false
 		}
 	}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -71,6 +71,25 @@
 		wantMatch(t, &d, true, "bad")
 		wantMatch(t, &d, false, "companion")
 	})
+	t.Run("a part that was only waiting explains no beginning response", func(t *testing.T) {
+		var d Detector
+		for i := range 4 {
+			crash(&d, i, Waiting, "first")
+		}
+		for i := range 3 {
+			crash(&d, i, Begun, "bad")
+		}
+		wantMatch(t, &d, true, "bad")
+		wantMatch(t, &d, false, "first")
+	})
+	t.Run("a part that was waiting at the same processes", func(t *testing.T) {
+		var d Detector
+		for i := range 3 {
+			crash(&d, i, Begun, "bad")
+			crash(&d, i, Waiting, "first")
+		}
+		wantMatch(t, &d, true, "bad", "other")
+	})
 	t.Run("two parts", func(t *testing.T) {
 		var d Detector
 		for i := range 3 {
