Take a response that goes on as a sign of sound parts

A part was known to be sound only at the end of a response. A part that most requests share, such as the first one, could then get the cases of two other parts that crash upstreams and be held back with its whole route, and as no request with it was sent any more, only a response that was already under way could end that. Found by reading; the subtest with a response that goes on failed.

An attempt now also shows it one second after its first event, once.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -35,9 +35,12 @@
 	// executed is true if the executions of the request include the attempt.
 	executed bool
 	// responding is true once the response of the attempt is forwarded, and started once
-	// its first event has arrived.
+	// its first event has arrived, at startedAt.
 	responding bool
 	started    bool
+	startedAt  time.Time
+	// sound is true once the attempt has shown that the parts of its prompt are sound.
+	sound bool
 }
 
 // find returns the attempt with a number, or nil if it has ended.
@@ -331,7 +334,7 @@
 		return
 	}
 	n.choose(r, a)
-	a.started = true
+	a.started, a.startedAt = true, now
 	a.upstream.pendingTokens -= a.pendingTokens
 	a.pendingTokens = 0
 	n.setOrigin(now, r, a)
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -98,7 +99,7 @@
 	}
 }
 
-// completedParts records that the parts of a request do not crash upstreams.
+// completedParts records that the parts of a completed request do not crash upstreams.
 func (n *Node) completedParts(now time.Time, r *request, status int) {
 	if status != http.StatusOK || !n.isEngine(r.service) {
 		return
@@ -107,6 +108,28 @@
 	n.recordPoison(now)
 }
 
+// soundAfter is how long after its first event a response shows that the parts of its prompt
+// do not crash upstreams. Long responses would show it too late, as none may be left when
+// their parts are held back.
+const soundAfter = time.Second
+
+// proveParts records the same for requests whose responses go on, once for each response.
+func (n *Node) proveParts(now time.Time) {
+	var sound []*request
+	for _, r := range n.requests {
+		a := r.current
+		if a != nil && a.started && !a.sound && now.Sub(a.startedAt) >= soundAfter && n.isEngine(r.service) {
+			a.sound = true
+			sound = append(sound, r)
+		}
+	}
+	slices.SortFunc(sound, func(a, b *request) int { return cmp.Compare(a.Number, b.Number) })
+	for _, r := range sound {
+		n.shareCases(n.poison.Completed(now, r.PromptParts))
+	}
+	n.recordPoison(now)
+}
+
 func (n *Node) shareCases(cases []poison.Case) {
 	if len(cases) > 0 {
 		n.emit(ShareCases{Cases: cases})
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -132,6 +132,24 @@
 		}
 		h.wantHeldBack(false, "part")
 	})
+	t.Run("a response that goes on lets requests through again", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("part")
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		h.readCases("part", 3)
+		h.now = h.now.Add(soundAfter / 2)
+		h.step(CasesTick{})
+		if got := h.shared(); len(got) != 0 {
+			t.Errorf("%d cases are refuted at once, want none", len(got))
+		}
+		h.now = h.now.Add(soundAfter / 2)
+		h.step(CasesTick{})
+		if got := h.shared(); len(got) != 3 || got[0].Weight != poison.Refuted {
+			t.Errorf("shared cases are %+v, want three that are refuted", got)
+		}
+		h.wantHeldBack(false, "part")
+	})
 	t.Run("an error response proves nothing", func(t *testing.T) {
 		h := newHarness(t)
 		h.prompt("part")
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -164,7 +164,8 @@
 	// CasesForgotten those that another node has forgotten.
 	CasesRead      struct{ Cases []poison.Case }
 	CasesForgotten struct{ Cases []poison.Case }
-	// CasesTick lets the node forget parts that were not seen for a long time.
+	// CasesTick lets the node note the parts of responses that go on, and forget parts that
+	// were not seen for a long time.
 	CasesTick struct{}
 	// NodeCount carries the number of nodes that share the work.
 	NodeCount struct{ Count int }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -135,6 +135,7 @@
 	case CasesForgotten:
 		n.casesForgotten(now, e.Cases)
 	case CasesTick:
+		n.proveParts(now)
 		n.expireCases(now)
 	case NodeCount:
 		n.nodes = max(n.nodes, e.Count)
