Keep cases of other hosts when an upstream cannot be checked

A host whose own check of an upstream found it alive, or did not reach it, also dropped the cases at that process that other hosts had shared, if an attempt of its own had broken there. It then held requests back one crash later than the others, and sent them on until then. Which of the two came first, the other host's case or the end of the check, decided it. Found by reading; the subtest with a process that has ended for others failed in both orders.

A case that another host shared now tells that the process has ended.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// HasCases reports whether there are cases at a process, also refuted ones.
+func (d *Detector) HasCases(p Process) bool {
+	for _, s := range d.suspects {
+		if s.cases[p] > Refuted || s.refuted[p] {
+			return true
+		}
+	}
+	return false
+}
+
 // Withdraw removes the cases of a process, which has not ended.
 func (d *Detector) Withdraw(p Process) {
 	for part, s := range d.suspects {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -17,6 +17,9 @@
 type crashCheck struct {
 	// cases are to be shared with the other nodes if the process has ended.
 	cases []poison.Case
+	// ended is true if another node has found that the process has ended. This node may
+	// not reach it for another reason.
+	ended bool
 }
 
 // suspectParts suspects the parts of a request whose attempt broke before its response had
@@ -30,6 +33,9 @@
 	if !checking && len(n.crashChecks) >= maxChecks {
 		return
 	}
+	if !checking {
+		check.ended = n.poison.HasCases(process)
+	}
 	weight := poison.Waiting
 	if a.responding {
 		weight = poison.Begun
@@ -52,7 +58,7 @@
 }
 
 // upstreamChecked shares the cases of an upstream that has ended, and withdraws them if
-// it has not.
+// it has not, also as far as other nodes know.
 func (n *Node) upstreamChecked(now time.Time, e UpstreamChecked) {
 	process := poison.Process{ID: e.ID, Born: e.Born}
 	check, ok := n.crashChecks[process]
@@ -60,7 +66,7 @@
 		return
 	}
 	delete(n.crashChecks, process)
-	if !e.Ended {
+	if !e.Ended && !check.ended {
 		n.poison.Withdraw(process)
 		return
 	}
@@ -71,6 +77,10 @@
 // casesRead adds what other nodes have shared.
 func (n *Node) casesRead(now time.Time, cases []poison.Case) {
 	for _, c := range cases {
+		if check, checking := n.crashChecks[c.Process]; checking {
+			check.ended = true
+			n.crashChecks[c.Process] = check
+		}
 		if c.Weight == poison.Refuted {
 			n.poison.Refute(now, c)
 			continue
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -81,6 +81,24 @@
 		}
 		h.wantHeldBack(false, "bad")
 	})
+	t.Run("a process that goes on here but has ended for others", func(t *testing.T) {
+		for _, first := range []bool{false, true} {
+			h := newHarness(t)
+			h.readCases("bad", 2)
+			h.prompt("bad")
+			u := find[Send](h).Upstream
+			other := CasesRead{Cases: []poison.Case{{Part: "bad", Process: poison.Process{ID: u.ID, Born: u.Born}, Weight: poison.Begun}}}
+			if first {
+				h.step(other)
+			}
+			h.breakAttempt(1, true)
+			if !first {
+				h.step(other)
+			}
+			h.step(UpstreamChecked{ID: u.ID, Born: u.Born})
+			h.wantHeldBack(true, "bad")
+		}
+	})
 	t.Run("held back after three processes", func(t *testing.T) {
 		h := newHarness(t)
 		h.readCases("bad", 2)
