--- a/poison/poison.go
+++ b/poison/poison.go
@@ -65,6 +65,9 @@
 	// them.
 	maxSuspects = 1024
 	maxCases    = 16
+	// maxRefuted bounds the refuted cases of a part. It is larger, since a frequent part
+	// that is sound has a case at each crash that another one causes.
+	maxRefuted = 128
 	// maxCompleted bounds the parts of which the last completion is known.
 	maxCompleted = 4096
 	// soundTime is how long a completed response shows that its parts are sound. It
@@ -235,15 +238,26 @@
 // refute makes all cases count no more.
 func (s *suspect) refute() {
 	for p := range s.cases {
-		if len(s.refuted) < maxCases {
-			s.refuted[p] = true
-		}
+		s.addRefuted(p)
 	}
 	clear(s.cases)
 	s.weight = 0
 	s.published = false
 }
 
+// addRefuted adds a refuted case. If there are too many, it replaces that of the process
+// that started first, as other nodes are the least likely to have that one still.
+func (s *suspect) addRefuted(p Process) {
+	s.refuted[p] = true
+	if len(s.refuted) > maxRefuted {
+		delete(s.refuted, slices.MinFunc(slices.Collect(maps.Keys(s.refuted)), compareBorn))
+	}
+}
+
+func compareBorn(a, b Process) int {
+	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID))
+}
+
 // publish returns the refuted cases unless they were returned before.
 func (s *suspect) publish(part string) []Case {
 	if s.published || len(s.refuted) == 0 {
@@ -257,9 +271,7 @@
 func (d *Detector) Refute(now time.Time, c Case) {
 	s := d.suspect(now, c.Part)
 	s.drop(c.Process)
-	if len(s.refuted) < maxCases {
-		s.refuted[c.Process] = true
-	}
+	s.addRefuted(c.Process)
 	d.stale = true
 }
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -119,6 +119,31 @@
 			t.Errorf("weight is %d, want 0", got)
 		}
 	})
+	t.Run("many cases that were refuted are not added again", func(t *testing.T) {
+		var d Detector
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+			d.Completed(start, []string{"p"})
+		}
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+		}
+		wantMatch(t, &d, false, "p")
+	})
+	t.Run("all of many refuted cases are refuted at other nodes", func(t *testing.T) {
+		var d, other Detector
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+			crash(&other, i, Begun, "p")
+			for _, c := range d.Completed(start, []string{"p"}) {
+				other.Refute(start, c)
+			}
+		}
+		for _, c := range d.Add(start, Case{Part: "p", Process: process(99), Weight: Waiting}) {
+			other.Refute(start, c)
+		}
+		wantMatch(t, &other, false, "p")
+	})
 	t.Run("other nodes learn it once there is another case", func(t *testing.T) {
 		var d Detector
 		crash(&d, 1, Waiting, "p")
@@ -241,6 +266,12 @@
 	if got := len(d.suspects["p"].cases); got > maxCases {
 		t.Errorf("a part has %d cases, want %d at most", got, maxCases)
 	}
+	for i := range maxRefuted + 10 {
+		d.Refute(start, Case{Part: "p", Process: process(i)})
+	}
+	if got := len(d.suspects["p"].refuted); got > maxRefuted {
+		t.Errorf("a part has %d refuted cases, want %d at most", got, maxRefuted)
+	}
 }
 
 // Many other parts must not displace one that requests are held back for.
