--- a/poison/poison.go
+++ b/poison/poison.go
@@ -4,8 +4,8 @@
 // A case is one process of an upstream that ended while it had a request with a part. A
 // part with cases at several processes is poisonous, unless responses to other requests
 // with it were completed meanwhile. Parts that were in the same requests at all crashes
-// cannot be told apart, so only requests with all of them are held back. A part that has
-// cases at some of the processes of another part is explained by that one.
+// cannot be told apart, so only requests with all of them are held back. A part is explained
+// by another one that has all its cases and more, none with a lower weight.
 //
 // The types are plain data without a clock. They are not safe for concurrent use.
 package poison
@@ -15,6 +15,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +65,9 @@
 	// them.
 	maxSuspects = 1024
 	maxCases    = 16
+	// maxRefuted bounds the refuted cases of a part. It is larger, since a frequent part
+	// that is sound has a case at each crash that another one causes.
+	maxRefuted = 128
 	// maxCompleted bounds the parts of which the last completion is known.
 	maxCompleted = 4096
 	// soundTime is how long a completed response shows that its parts are sound. It
@@ -78,8 +82,12 @@
 // A Detector holds the cases of all nodes. The zero value knows none.
 type Detector struct {
 	suspects map[string]*suspect
-	// groups are the sets of parts that crash upstreams. They are derived from suspects.
+	// groups are the sets of parts that crash upstreams, in order, and byPart holds them by
+	// their first parts. They are derived from suspects, and older than these if stale is
+	// true.
 	groups [][]string
+	byPart map[string][][]string
+	stale  bool
 	// completed is when the last response to a request with a part was completed.
 	completed queue.FIFOMap[string, time.Time]
 }
@@ -87,7 +95,9 @@
 // A suspect is a part with cases.
 type suspect struct {
 	// cases are those that count, and refuted those that do not. No process is in both.
+	// weight is the sum of the weights of cases.
 	cases   map[Process]Weight
+	weight  Weight
 	refuted map[Process]bool
 	// published is true once the refuted cases were returned to be shared.
 	published bool
@@ -95,27 +105,35 @@
 	lastSeen time.Time
 }
 
-func (s *suspect) weight() Weight {
-	sum := Weight(0)
-	for _, w := range s.cases {
-		sum += w
-	}
-	return sum
+// put sets the weight of a case, and drop removes a case if there is one.
+func (s *suspect) put(p Process, w Weight) {
+	s.weight += w - s.cases[p]
+	s.cases[p] = w
+}
+
+func (s *suspect) drop(p Process) {
+	s.weight -= s.cases[p]
+	delete(s.cases, p)
 }
 
+// poisonous reports whether requests with the part are held back, unless another part
+// explains its cases.
+func (s *suspect) poisonous() bool { return s.weight >= poisonWeight }
+
 // Add adds a case. It returns the cases of the part that must be refuted at other nodes
-// for it: those before the last completed response.
+// for it: those before the last completed response. Cases of unknown weights, which other
+// writers may have shared, are not added.
 func (d *Detector) Add(now time.Time, c Case) (refuted []Case) {
-	if c.Part == "" || c.Weight <= Refuted {
+	if c.Part == "" || c.Weight != Waiting && c.Weight != Begun {
 		return nil
 	}
 	s := d.suspect(now, c.Part)
 	if s.refuted[c.Process] || s.cases[c.Process] >= c.Weight || len(s.cases) >= maxCases {
 		return nil
 	}
-	s.cases[c.Process] = c.Weight
+	s.put(c.Process, c.Weight)
 	s.lastSeen = now
-	d.group()
+	d.stale = true
 	return s.publish(c.Part)
 }
 
@@ -129,7 +147,7 @@
 }
 
 // suspect returns the entry of a part. If there are too many, it replaces the one that was
-// seen least recently.
+// seen least recently, but one that may be held back only if all others may be, too.
 func (d *Detector) suspect(now time.Time, part string) *suspect {
 	if s := d.suspects[part]; s != nil {
 		return s
@@ -138,63 +156,108 @@
 		d.suspects = make(map[string]*suspect)
 	}
 	if len(d.suspects) >= maxSuspects {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), func(a, b string) int {
-			return cmp.Or(d.suspects[a].lastSeen.Compare(d.suspects[b].lastSeen), cmp.Compare(a, b))
-		})
-		delete(d.suspects, oldest)
+		delete(d.suspects, d.leastNeeded())
 	}
 	s := &suspect{cases: make(map[Process]Weight), refuted: make(map[Process]bool), lastSeen: now}
 	d.suspects[part] = s
 	return s
 }
 
+// leastNeeded returns the part that was seen least recently of those that are not held
+// back, or of all if there are no others.
+func (d *Detector) leastNeeded() string {
+	var least string
+	var l *suspect
+	for part, s := range d.suspects {
+		c := -1
+		if l != nil {
+			c = s.compareNeed(l)
+		}
+		if c < 0 || c == 0 && part < least {
+			least, l = part, s
+		}
+	}
+	return least
+}
+
+// compareNeed orders parts by how much they are needed: those that may be held back last,
+// and of the others those that were seen last.
+func (s *suspect) compareNeed(o *suspect) int {
+	switch {
+	case s.poisonous() == o.poisonous():
+		return s.lastSeen.Compare(o.lastSeen)
+	case s.poisonous():
+		return 1
+	default:
+		return -1
+	}
+}
+
+// HasCases reports whether there are cases at a process, also refuted ones.
+func (d *Detector) HasCases(p Process) bool {
+	for _, s := range d.suspects {
+		if s.cases[p] > Refuted || s.refuted[p] {
+			return true
+		}
+	}
+	return false
+}
+
 // Withdraw removes the cases of a process, which has not ended.
 func (d *Detector) Withdraw(p Process) {
 	for part, s := range d.suspects {
-		delete(s.cases, p)
+		s.drop(p)
 		if len(s.cases)+len(s.refuted) == 0 {
 			delete(d.suspects, part)
 		}
 	}
-	d.group()
+	d.stale = true
 }
 
-// Completed records a completed response to a request with the parts: their cases so far
-// do not count. It returns those that must be refuted at other nodes at once, because they
+// Completed records a response to a request with the parts that was completed, or that goes
+// on long after its beginning: their cases so far do not count. It returns those that must be refuted at other nodes at once, because they
 // are about to hold sound requests back.
 func (d *Detector) Completed(now time.Time, parts []string) (refuted []Case) {
 	d.completed.Limit = maxCompleted
-	changed := false
 	for _, part := range parts {
 		d.completed.Put(part, now)
 		s := d.suspects[part]
 		if s == nil || len(s.cases) == 0 {
 			continue
 		}
-		changed = true
-		urgent := s.weight() >= poisonWeight/2
+		urgent := s.weight >= poisonWeight/2
+		d.stale = true
 		s.refute()
 		if urgent {
 			refuted = append(refuted, s.publish(part)...)
 		}
 	}
-	if changed {
-		d.group()
-	}
 	return refuted
 }
 
 // refute makes all cases count no more.
 func (s *suspect) refute() {
 	for p := range s.cases {
-		if len(s.refuted) < maxCases {
-			s.refuted[p] = true
-		}
+		s.addRefuted(p)
 	}
 	clear(s.cases)
+	s.weight = 0
 	s.published = false
 }
 
+// addRefuted adds a refuted case. If there are too many, it replaces that of the process
+// that started first, as other nodes are the least likely to have that one still.
+func (s *suspect) addRefuted(p Process) {
+	s.refuted[p] = true
+	if len(s.refuted) > maxRefuted {
+		delete(s.refuted, slices.MinFunc(slices.Collect(maps.Keys(s.refuted)), compareBorn))
+	}
+}
+
+func compareBorn(a, b Process) int {
+	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID))
+}
+
 // publish returns the refuted cases unless they were returned before.
 func (s *suspect) publish(part string) []Case {
 	if s.published || len(s.refuted) == 0 {
@@ -207,11 +270,9 @@
 // Refute records that another node has refuted a case.
 func (d *Detector) Refute(now time.Time, c Case) {
 	s := d.suspect(now, c.Part)
-	delete(s.cases, c.Process)
-	if len(s.refuted) < maxCases {
-		s.refuted[c.Process] = true
-	}
-	d.group()
+	s.drop(c.Process)
+	s.addRefuted(c.Process)
+	d.stale = true
 }
 
 // Forget removes a case that another node has forgotten. It returns false if the case is
@@ -224,12 +285,12 @@
 	if s.cases[c.Process] > Refuted && now.Sub(s.lastSeen) < KeepTime {
 		return false
 	}
-	delete(s.cases, c.Process)
+	s.drop(c.Process)
 	delete(s.refuted, c.Process)
 	if len(s.cases)+len(s.refuted) == 0 {
 		delete(d.suspects, c.Part)
 	}
-	d.group()
+	d.stale = true
 	return true
 }
 
@@ -242,9 +303,7 @@
 		}
 		expired = append(expired, s.list(part)...)
 		delete(d.suspects, part)
-	}
-	if len(expired) > 0 {
-		d.group()
+		d.stale = true
 	}
 	return expired
 }
@@ -276,29 +335,39 @@
 // Weight returns the sum of the weights of a part's case.
 func (d *Detector) Weight(part string) Weight {
 	if s := d.suspects[part]; s != nil {
-		return s.weight()
+		return s.weight
 	}
 	return 0
 }
 
 // Groups returns the sets of parts that crash upstreams.
-func (d *Detector) Groups() [][]string { return d.groups }
+func (d *Detector) Groups() [][]string {
+	d.refresh()
+	return d.groups
+}
 
 // Match returns the parts for which a request is to be held back, or nil if there are
 // none.
 func (d *Detector) Match(now time.Time, parts []string) []string {
-	for _, g := range d.groups {
-		if !containsAll(parts, g) {
-			continue
-		}
-		for _, part := range g {
-			d.suspects[part].lastSeen = now
+	d.refresh()
+	for _, part := range parts {
+		for _, g := range d.byPart[part] {
+			if containsAll(parts, g) {
+				d.see(now, g)
+				return g
+			}
 		}
-		return g
 	}
 	return nil
 }
 
+// see records that a request was held back for a group.
+func (d *Detector) see(now time.Time, group []string) {
+	for _, part := range group {
+		d.suspects[part].lastSeen = now
+	}
+}
+
 func containsAll(parts, group []string) bool {
 	for _, part := range group {
 		if !slices.Contains(parts, part) {
@@ -308,44 +377,63 @@
 	return true
 }
 
-// group derives the groups from the suspects.
-func (d *Detector) group() {
-	d.groups = nil
-	for part, s := range d.suspects {
-		if s.weight() < poisonWeight {
+// refresh derives the groups from the suspects if these have changed.
+func (d *Detector) refresh() {
+	if !d.stale {
+		return
+	}
+	d.stale, d.groups = false, nil
+	d.byPart = make(map[string][][]string)
+	alike := d.alike()
+	for _, g := range alike {
+		if d.explained(g[0], alike) {
 			continue
 		}
-		if g, first := d.inseparable(part, s); first {
-			d.groups = append(d.groups, g)
-		}
+		slices.Sort(g)
+		d.groups = append(d.groups, g)
+		d.byPart[g[0]] = append(d.byPart[g[0]], g)
 	}
 	slices.SortFunc(d.groups, slices.Compare)
 }
 
-// inseparable returns the parts with cases at the same processes as the given one, in
-// order. It returns false if another part explains its cases, or if the part is not the
-// first of the group.
-func (d *Detector) inseparable(part string, s *suspect) (group []string, first bool) {
-	for other, o := range d.suspects {
-		if !coversAll(o.cases, s.cases) {
-			continue
-		}
-		if len(o.cases) > len(s.cases) {
-			return nil, false
+// alike returns the poisonous parts in sets of those that have the same cases.
+func (d *Detector) alike() [][]string {
+	byCases := make(map[string][]string)
+	for part, s := range d.suspects {
+		if s.poisonous() {
+			cases := s.describe()
+			byCases[cases] = append(byCases[cases], part)
 		}
-		group = append(group, other)
 	}
-	slices.Sort(group)
-	return group, group[0] == part
+	return slices.Collect(maps.Values(byCases))
+}
+
+// describe returns a text that is the same for parts with the same cases.
+func (s *suspect) describe() string {
+	var cases []string
+	for p, w := range s.cases {
+		cases = append(cases, fmt.Sprintf("%q/%d/%d", p.ID, p.Born, w))
+	}
+	slices.Sort(cases)
+	return strings.Join(cases, " ")
+}
+
+// explained reports whether one of the sets of parts has all cases of a part and more.
+func (d *Detector) explained(part string, alike [][]string) bool {
+	s := d.suspects[part]
+	return slices.ContainsFunc(alike, func(others []string) bool {
+		o := d.suspects[others[0]]
+		return o != s && coversAll(o.cases, s.cases) && !coversAll(s.cases, o.cases)
+	})
 }
 
-// coversAll reports whether a has all processes of b.
+// coversAll reports whether a has all cases of b, none of them with a lower weight.
 func coversAll(a, b map[Process]Weight) bool {
 	if len(a) < len(b) {
 		return false
 	}
-	for p := range b {
-		if _, ok := a[p]; !ok {
+	for p, w := range b {
+		if a[p] < w {
 			return false
 		}
 	}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -71,6 +71,25 @@
 		wantMatch(t, &d, true, "bad")
 		wantMatch(t, &d, false, "companion")
 	})
+	t.Run("a part that was only waiting explains no beginning response", func(t *testing.T) {
+		var d Detector
+		for i := range 4 {
+			crash(&d, i, Waiting, "first")
+		}
+		for i := range 3 {
+			crash(&d, i, Begun, "bad")
+		}
+		wantMatch(t, &d, true, "bad")
+		wantMatch(t, &d, false, "first")
+	})
+	t.Run("a part that was waiting at the same processes", func(t *testing.T) {
+		var d Detector
+		for i := range 3 {
+			crash(&d, i, Begun, "bad")
+			crash(&d, i, Waiting, "first")
+		}
+		wantMatch(t, &d, true, "bad", "other")
+	})
 	t.Run("two parts", func(t *testing.T) {
 		var d Detector
 		for i := range 3 {
@@ -100,6 +119,31 @@
 			t.Errorf("weight is %d, want 0", got)
 		}
 	})
+	t.Run("many cases that were refuted are not added again", func(t *testing.T) {
+		var d Detector
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+			d.Completed(start, []string{"p"})
+		}
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+		}
+		wantMatch(t, &d, false, "p")
+	})
+	t.Run("all of many refuted cases are refuted at other nodes", func(t *testing.T) {
+		var d, other Detector
+		for i := range 2 * maxCases {
+			crash(&d, i, Begun, "p")
+			crash(&other, i, Begun, "p")
+			for _, c := range d.Completed(start, []string{"p"}) {
+				other.Refute(start, c)
+			}
+		}
+		for _, c := range d.Add(start, Case{Part: "p", Process: process(99), Weight: Waiting}) {
+			other.Refute(start, c)
+		}
+		wantMatch(t, &other, false, "p")
+	})
 	t.Run("other nodes learn it once there is another case", func(t *testing.T) {
 		var d Detector
 		crash(&d, 1, Waiting, "p")
@@ -222,6 +266,39 @@
 	if got := len(d.suspects["p"].cases); got > maxCases {
 		t.Errorf("a part has %d cases, want %d at most", got, maxCases)
 	}
+	for i := range maxRefuted + 10 {
+		d.Refute(start, Case{Part: "p", Process: process(i)})
+	}
+	if got := len(d.suspects["p"].refuted); got > maxRefuted {
+		t.Errorf("a part has %d refuted cases, want %d at most", got, maxRefuted)
+	}
+}
+
+// Many other parts must not displace one that requests are held back for.
+func TestHeldPartDisplaced(t *testing.T) {
+	var d Detector
+	for i := range 3 {
+		crash(&d, i, Begun, "bad")
+	}
+	for i := range 2 * maxSuspects {
+		d.Add(start.Add(time.Second), Case{Part: fmt.Sprint("p", i), Process: process(9), Weight: Waiting})
+	}
+	wantMatch(t, &d, true, "bad")
+	if got := len(d.suspects); got > maxSuspects {
+		t.Errorf("%d parts are suspected, want %d at most", got, maxSuspects)
+	}
+}
+
+// A record of another writer must not hold requests back by itself.
+func TestCaseOfUnknownWeight(t *testing.T) {
+	var d Detector
+	for _, w := range []Weight{-1, Begun + 1, poisonWeight} {
+		crash(&d, int(w), w, "p")
+	}
+	if got := len(d.Cases()); got != 0 {
+		t.Errorf("%d cases of unknown weights are added, want none", got)
+	}
+	wantMatch(t, &d, false, "p")
 }
 
 // Whatever crashes upstreams, a request is held back only for parts that were in a crash,
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -16,6 +17,9 @@
 type crashCheck struct {
 	// cases are to be shared with the other nodes if the process has ended.
 	cases []poison.Case
+	// ended is true if another node has found that the process has ended. This node may
+	// not reach it for another reason.
+	ended bool
 }
 
 // suspectParts suspects the parts of a request whose attempt broke before its response had
@@ -29,6 +33,9 @@
 	if !checking && len(n.crashChecks) >= maxChecks {
 		return
 	}
+	if !checking {
+		check.ended = n.poison.HasCases(process)
+	}
 	weight := poison.Waiting
 	if a.responding {
 		weight = poison.Begun
@@ -51,7 +58,7 @@
 }
 
 // upstreamChecked shares the cases of an upstream that has ended, and withdraws them if
-// it has not.
+// it has not, also as far as other nodes know.
 func (n *Node) upstreamChecked(now time.Time, e UpstreamChecked) {
 	process := poison.Process{ID: e.ID, Born: e.Born}
 	check, ok := n.crashChecks[process]
@@ -59,7 +66,7 @@
 		return
 	}
 	delete(n.crashChecks, process)
-	if !e.Ended {
+	if !e.Ended && !check.ended {
 		n.poison.Withdraw(process)
 		return
 	}
@@ -70,6 +77,10 @@
 // casesRead adds what other nodes have shared.
 func (n *Node) casesRead(now time.Time, cases []poison.Case) {
 	for _, c := range cases {
+		if check, checking := n.crashChecks[c.Process]; checking {
+			check.ended = true
+			n.crashChecks[c.Process] = check
+		}
 		if c.Weight == poison.Refuted {
 			n.poison.Refute(now, c)
 			continue
@@ -98,7 +109,7 @@
 	}
 }
 
-// completedParts records that the parts of a request do not crash upstreams.
+// completedParts records that the parts of a completed request do not crash upstreams.
 func (n *Node) completedParts(now time.Time, r *request, status int) {
 	if status != http.StatusOK || !n.isEngine(r.service) {
 		return
@@ -107,6 +118,28 @@
 	n.recordPoison(now)
 }
 
+// soundAfter is how long after its first event a response shows that the parts of its prompt
+// do not crash upstreams. Long responses would show it too late, as none may be left when
+// their parts are held back.
+const soundAfter = time.Second
+
+// proveParts records the same for requests whose responses go on, once for each response.
+func (n *Node) proveParts(now time.Time) {
+	var sound []*request
+	for _, r := range n.requests {
+		a := r.current
+		if a != nil && a.started && !a.sound && now.Sub(a.startedAt) >= soundAfter && n.isEngine(r.service) {
+			a.sound = true
+			sound = append(sound, r)
+		}
+	}
+	slices.SortFunc(sound, func(a, b *request) int { return cmp.Compare(a.Number, b.Number) })
+	for _, r := range sound {
+		n.shareCases(n.poison.Completed(now, r.PromptParts))
+	}
+	n.recordPoison(now)
+}
+
 func (n *Node) shareCases(cases []poison.Case) {
 	if len(cases) > 0 {
 		n.emit(ShareCases{Cases: cases})
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -81,6 +81,24 @@
 		}
 		h.wantHeldBack(false, "bad")
 	})
+	t.Run("a process that goes on here but has ended for others", func(t *testing.T) {
+		for _, first := range []bool{false, true} {
+			h := newHarness(t)
+			h.readCases("bad", 2)
+			h.prompt("bad")
+			u := find[Send](h).Upstream
+			other := CasesRead{Cases: []poison.Case{{Part: "bad", Process: poison.Process{ID: u.ID, Born: u.Born}, Weight: poison.Begun}}}
+			if first {
+				h.step(other)
+			}
+			h.breakAttempt(1, true)
+			if !first {
+				h.step(other)
+			}
+			h.step(UpstreamChecked{ID: u.ID, Born: u.Born})
+			h.wantHeldBack(true, "bad")
+		}
+	})
 	t.Run("held back after three processes", func(t *testing.T) {
 		h := newHarness(t)
 		h.readCases("bad", 2)
@@ -132,6 +150,24 @@
 		}
 		h.wantHeldBack(false, "part")
 	})
+	t.Run("a response that goes on lets requests through again", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("part")
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		h.readCases("part", 3)
+		h.now = h.now.Add(soundAfter / 2)
+		h.step(CasesTick{})
+		if got := h.shared(); len(got) != 0 {
+			t.Errorf("%d cases are refuted at once, want none", len(got))
+		}
+		h.now = h.now.Add(soundAfter / 2)
+		h.step(CasesTick{})
+		if got := h.shared(); len(got) != 3 || got[0].Weight != poison.Refuted {
+			t.Errorf("shared cases are %+v, want three that are refuted", got)
+		}
+		h.wantHeldBack(false, "part")
+	})
 	t.Run("an error response proves nothing", func(t *testing.T) {
 		h := newHarness(t)
 		h.prompt("part")
