Move the event reader to a package of its own

The event reader needs nothing of it but a stream, the id of the last event, and whether the stream may end without an event.

Change: package events has the reader, its tests and its fuzz target. Its door is Reader (NewReader, RequireEvent, Next) and ErrTooLong, which has the text that it had before; relay counts it as a response that is too long, as before. The buffer of connections has a constant of its own with the same size. The endless events and comments of TestEndlessEvent and TestEndlessComments stay in relay beside their cases with a whole deployment.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	go test -run xxx -fuzz FuzzParseUpstream $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzParseStageResponse $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzDecodeLog $(FUZZ_FLAGS) ./platform
-	go test -run xxx -fuzz FuzzEvents $(FUZZ_FLAGS) ./relay
+	go test -run xxx -fuzz FuzzEvents $(FUZZ_FLAGS) ./events
 
 # Measures the slopes that docs/CAPACITY.md uses.
 capacity:
--- a/relay/events.go
+++ b/events/events.go
@@ -1,18 +1,25 @@
-package relay
+// Package events splits a stream of server-sent events into whole events, so that a client
+// never gets part of an event and a broken stream is never taken as complete.
+//
+// It holds back comments until the event that follows them, skips the events that a client
+// has already, and bounds the memory that a stream without end takes up.
+package events
 
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"strconv"
 )
 
-// An eventReader splits a stream into whole events. For a resumed stream, it skips
+// A Reader splits a stream into whole events. For a resumed stream, it skips
 // the events up to the last one that was delivered. Comments and other blocks that are no
 // events are passed on with the event that follows, so that they do not count as progress.
-type eventReader struct {
+// Create it with NewReader.
+type Reader struct {
 	reader io.Reader
+	// buffer holds what was read and not yet returned or skipped. Its length exceeds
+	// maxEventBytes by a chunk at most.
 	buffer []byte
 	// held is the length of the blocks at the start of the buffer that are no events.
 	held int
@@ -20,17 +27,24 @@
 	after int64
 	// needsEvent is true while the stream would be truncated if it ended without an event.
 	needsEvent bool
-	readErr    error
+	// readErr is the error of the last read. Nothing is read after an error.
+	readErr error
 }
 
-func newEventReader(r io.Reader, last string) *eventReader {
+// NewReader returns a reader of a stream that skips the events up to the one with the given
+// id. If the id is no number, nothing is skipped.
+func NewReader(r io.Reader, last string) *Reader {
 	after, err := strconv.ParseInt(last, 10, 64)
 	if err != nil {
 		after = -1
 	}
-	return &eventReader{reader: r, after: after}
+	return &Reader{reader: r, after: after}
 }
 
+// RequireEvent makes it an error if the stream ends without an event. It must be called
+// before Next.
+func (e *Reader) RequireEvent() { e.needsEvent = true }
+
 const (
 	// readChunkSize is the size of one read in bytes, and maxEventBytes bounds an
 	// event together with the blocks before it that are no events.
@@ -38,16 +52,19 @@
 	maxEventBytes = 128 << 10
 )
 
-// Errors of streams.
+// ErrTooLong means that an event, with the comments before it, exceeds its bound, as one
+// without end does.
+var ErrTooLong = errors.New("read event: response is too long")
+
+// Other errors of streams.
 var (
-	errEventTooLong   = fmt.Errorf("read event: %w", errResponseTooLong)
 	errEventTruncated = errors.New("stream ends within an event")
 	errNoEvent        = errors.New("stream ends with its connection and without an event")
 )
 
-// next returns the next whole events and the id of the last of them. It returns
+// Next returns the next whole events and the id of the last of them. It returns
 // io.EOF at the end of the stream.
-func (e *eventReader) next() (data []byte, id string, err error) {
+func (e *Reader) Next() (data []byte, id string, err error) {
 	for {
 		if data, id = e.cutEvents(); len(data) > 0 {
 			return data, id, nil
@@ -59,7 +76,7 @@
 			return nil, "", e.endError()
 		}
 		if len(e.buffer) > maxEventBytes {
-			return nil, "", errEventTooLong
+			return nil, "", ErrTooLong
 		}
 		chunk := make([]byte, readChunkSize)
 		n, err := e.reader.Read(chunk)
@@ -68,7 +85,7 @@
 	}
 }
 
-func (e *eventReader) endError() error {
+func (e *Reader) endError() error {
 	switch {
 	case e.readErr != io.EOF:
 		return e.readErr
@@ -87,7 +104,7 @@
 )
 
 // cutEvents removes the whole events from the buffer and returns them.
-func (e *eventReader) cutEvents() (data []byte, id string) {
+func (e *Reader) cutEvents() (data []byte, id string) {
 	for {
 		block, rest, ok := bytes.Cut(e.buffer[e.held:], eventEnd)
 		if !ok {
@@ -111,7 +128,7 @@
 }
 
 // cut removes the first bytes from the buffer and returns them.
-func (e *eventReader) cut(size int) []byte {
+func (e *Reader) cut(size int) []byte {
 	data := e.buffer[:size]
 	e.buffer, e.held = e.buffer[size:], 0
 	return data
--- a/relay/events_test.go
+++ b/events/events_test.go
@@ -1,4 +1,4 @@
-package relay
+package events
 
 import (
 	"errors"
@@ -6,12 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
-
-	"teaselplank/fleet"
 )
 
-func upstreamAt(addr string) fleet.Upstream { return fleet.Upstream{ID: "u", Addr: addr} }
-
 func TestEvents(t *testing.T) {
 	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\n"
 	errReset := errors.New("connection is reset")
@@ -36,10 +32,10 @@
 		{"empty", strings.NewReader(""), "", "", "", io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e := newEventReader(c.reader, c.after)
+			e := NewReader(c.reader, c.after)
 			got, last := "", ""
 			for {
-				data, id, err := e.next()
+				data, id, err := e.Next()
 				got += string(data)
 				if id != "" {
 					last = id
@@ -71,11 +67,11 @@
 		{"data: a\n\n: c\n\n", "data: a\n\n: c\n\n", io.EOF},
 		{"data: a\n\nda", "data: a\n\n", errEventTruncated},
 	} {
-		e := newEventReader(strings.NewReader(c.stream), "")
-		e.needsEvent = true
+		e := NewReader(strings.NewReader(c.stream), "")
+		e.RequireEvent()
 		got := ""
-		data, _, err := e.next()
-		for ; err == nil; data, _, err = e.next() {
+		data, _, err := e.Next()
+		for ; err == nil; data, _, err = e.Next() {
 			got += string(data)
 		}
 		if got != c.want || !errors.Is(err, c.err) {
@@ -100,10 +96,10 @@
 }
 
 func allEventsOf(r io.Reader) string {
-	e := newEventReader(r, "")
+	e := NewReader(r, "")
 	var all strings.Builder
 	for {
-		data, _, err := e.next()
+		data, _, err := e.Next()
 		all.Write(data)
 		if err != nil {
 			return all.String()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/proxy"
 )
@@ -126,11 +127,13 @@
 // readEvents passes events on as they arrive, each of them whole.
 func (t *attempt) readEvents() {
 	x := t.exchange
-	events := newEventReader(t.response.Body, t.send.LastEventID)
+	reader := events.NewReader(t.response.Body, t.send.LastEventID)
 	// A resumed stream may have no event left.
-	events.needsEvent = endsWithConnection(t.response) && t.send.LastEventID == ""
+	if endsWithConnection(t.response) && t.send.LastEventID == "" {
+		reader.RequireEvent()
+	}
 	for {
-		data, id, err := events.next()
+		data, id, err := reader.Next()
 		if err != nil {
 			t.finish(err == io.EOF)
 		}
@@ -164,7 +167,7 @@
 // failureOf returns the failure for an error of reading an answer.
 func failureOf(err error) proxy.Failure {
 	switch {
-	case errors.Is(err, errResponseTooLong):
+	case errors.Is(err, errResponseTooLong), errors.Is(err, events.ErrTooLong):
 		return proxy.ResponseTooLong
 	case isTimeout(err):
 		return proxy.ResponseTimeout
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -51,6 +51,8 @@
 	keepAliveMargin  = 500 * time.Millisecond
 	// maxIdleConns bounds the idle connections to one upstream.
 	maxIdleConns = 32
+	// readBufferSize is the size of the buffer that answers are read through, in bytes.
+	readBufferSize = 4 << 10
 )
 
 // keepAlive is the probing of connections to upstreams. A silence that begins just before
@@ -118,7 +120,7 @@
 
 func newConn(raw net.Conn, pool *connPool, dest endpoint) *conn {
 	c := &conn{Conn: raw, pool: pool, endpoint: dest}
-	c.reader = bufio.NewReaderSize(c, readChunkSize)
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -9,8 +9,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"teaselplank/fleet"
 )
 
+func upstreamAt(addr string) fleet.Upstream { return fleet.Upstream{ID: "u", Addr: addr} }
+
 // tolerated is the silence that must not end a connection.
 const tolerated = 3 * time.Second
 
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"teaselplank/batch"
+	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/peerpb"
 	"teaselplank/platform/stand"
@@ -48,7 +49,7 @@
 }
 
 func newEndlessReader(text string) *endlessReader {
-	return &endlessReader{text: strings.Repeat(text, readChunkSize)}
+	return &endlessReader{text: strings.Repeat(text, readBufferSize)}
 }
 
 func (e *endlessReader) Read(b []byte) (int, error) {
@@ -319,8 +320,8 @@
 	for name, text := range map[string]string{"one line": "x", "lines": "data: x\n"} {
 		t.Run(name, func(t *testing.T) {
 			var read atomic.Int64
-			e := newEventReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
-			if data, _, err := e.next(); err == nil {
+			e := events.NewReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
+			if data, _, err := e.Next(); err == nil {
 				t.Errorf("%d bytes of an endless event are passed on", len(data))
 			}
 			if n := read.Load(); n > maxResponseMemory {
@@ -337,8 +338,8 @@
 	for name, text := range map[string]string{"comments": ": wait\n\n", "blank lines": "\n", "no events": "garbage\n\n"} {
 		t.Run(name, func(t *testing.T) {
 			var read atomic.Int64
-			e := newEventReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
-			if data, _, err := e.next(); err == nil {
+			e := events.NewReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
+			if data, _, err := e.Next(); err == nil {
 				t.Errorf("%d bytes without an event are passed on", len(data))
 			}
 			if n := read.Load(); n > maxResponseMemory {
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"teaselplank/events"
 	"teaselplank/platform/stand"
 )
 
@@ -143,7 +144,7 @@
 	defer answer.Body.Close()
 	reader := bufio.NewReader(answer.Body)
 	var event strings.Builder
-	for events := 0; ; {
+	for count := 0; ; {
 		line, err := reader.ReadString('\n')
 		if err != nil {
 			if err == io.EOF {
@@ -155,10 +156,10 @@
 		if line != "\n" {
 			continue
 		}
-		s.lastEventID = eventID([]byte(event.String()))
+		_, s.lastEventID, _ = events.NewReader(strings.NewReader(event.String()), "").Next()
 		s.body += event.String()
 		event.Reset()
-		if events++; events == 2 {
+		if count++; count == 2 {
 			began()
 		}
 	}
