Move the connections to upstreams to a package of their own

What was seen: the pool of connections, with keep-alive, the check before reuse and the bound of heads, and the bounded bodies need nothing of relay's Server, but any of its files could reach into their fields: metrics and tests locked the pool's mutex.

Change: package conns has the pool, its connections and the bodies. Idle is there for tests of a whole deployment. The buffer for a request's body has a constant of its own with the same size. isTimeout, which only relay uses, is in connect.go. The counter of reused connections, which nothing read, is gone. Nothing else changes.

TestPartlyReadRefusal and TestManyEndlessBodies stay, as they use an attempt; they get connections from the pool over the loopback address in place of pipes. No check changes.

--- a/relay/body.go
+++ b/conns/body.go
@@ -1,4 +1,4 @@
-package relay
+package conns
 
 import (
 	"fmt"
@@ -16,16 +16,16 @@
 	maxExtraChunks = (32 << 20) / bodyChunkSize
 )
 
-// A bodyPool bounds the memory for the bodies of answers, which are read whole before
+// A BodyPool bounds the memory for the bodies of answers, which are read whole before
 // they are forwarded. The zero value is empty.
-type bodyPool struct {
+type BodyPool struct {
 	// extraChunks is the number of chunks in use beyond the first of each body. It
 	// exceeds maxExtraChunks only for a moment in acquire.
 	extraChunks atomic.Int64
 }
 
 // acquire takes an extra chunk and reports whether there was one left.
-func (p *bodyPool) acquire() bool {
+func (p *BodyPool) acquire() bool {
 	if p.extraChunks.Add(1) <= maxExtraChunks {
 		return true
 	}
@@ -33,41 +33,45 @@
 	return false
 }
 
-// A body is the whole body of an answer.
-type body struct {
-	pool *bodyPool
+// A Body is the whole body of an answer.
+type Body struct {
+	pool *BodyPool
 	// chunks are full except for the last one. All but the first are taken from the
 	// pool.
 	chunks [][]byte
-	size   int
+	// size is the length of all chunks, at most maxAnswerBytes.
+	size int
 }
 
-// read reads a whole body. The caller releases it.
-func (p *bodyPool) read(r io.Reader) (*body, error) {
-	b := &body{pool: p}
+// ReadAll reads a whole body. The caller releases it.
+func (p *BodyPool) ReadAll(r io.Reader) (*Body, error) {
+	b := &Body{pool: p}
 	if err := b.readFrom(r); err != nil {
-		b.release()
+		b.Release()
 		return nil, fmt.Errorf("read body: %w", err)
 	}
 	return b, nil
 }
 
-func (b *body) readFrom(r io.Reader) error {
+func (b *Body) readFrom(r io.Reader) error {
 	for {
 		chunk, err := io.ReadAll(io.LimitReader(r, bodyChunkSize))
 		if err != nil || len(chunk) == 0 {
 			return err
 		}
 		if b.size+len(chunk) > maxAnswerBytes || len(b.chunks) > 0 && !b.pool.acquire() {
-			return errResponseTooLong
+			return ErrTooLong
 		}
 		b.chunks = append(b.chunks, chunk)
 		b.size += len(chunk)
 	}
 }
 
-// writeTo writes the body to a client. If that fails, the client has disconnected.
-func (b *body) writeTo(w io.Writer) {
+// Size returns the length of the body in bytes.
+func (b *Body) Size() int { return b.size }
+
+// CopyTo writes the body to a client. If that fails, the client has disconnected.
+func (b *Body) CopyTo(w io.Writer) {
 	for _, chunk := range b.chunks {
 		if _, err := w.Write(chunk); err != nil {
 			return
@@ -75,8 +79,8 @@
 	}
 }
 
-// release returns the chunks to the pool. A nil body has none.
-func (b *body) release() {
+// Release returns the chunks to the pool. A nil body has none.
+func (b *Body) Release() {
 	if b == nil {
 		return
 	}
--- a/relay/conns.go
+++ b/conns/conns.go
@@ -1,4 +1,9 @@
-package relay
+// Package conns holds the connections to upstreams and bounds what is read from them.
+//
+// A Pool replaces http.Transport, which retries some requests by itself: it writes each
+// request once, on a connection that was alive just before, and the caller learns whether
+// writing has begun. A BodyPool bounds the memory for the bodies of answers.
+package conns
 
 import (
 	"bufio"
@@ -17,16 +22,16 @@
 	"teaselplank/fleet"
 )
 
-// A connPool holds the connections to upstreams. It replaces http.Transport, which
-// retries some requests by itself. A connPool writes each request once, and the
-// caller learns whether writing has begun.
-type connPool struct {
+// A Pool holds the connections to upstreams. Create it with NewPool.
+type Pool struct {
 	dialer net.Dialer
-	mu     sync.Mutex
-	// idle holds the idle connections by upstream, the newest last.
-	idle   map[endpoint][]*conn
-	made   int64
-	reused int64
+	// mu guards the fields below.
+	mu sync.Mutex
+	// idle holds the idle connections by upstream, the newest last. No list is longer than
+	// maxIdleConns, and each connection in one is monitored.
+	idle map[endpoint][]*Conn
+	// made is the number of connections that were made.
+	made int64
 }
 
 // An endpoint identifies the process at the other end of a connection.
@@ -62,8 +67,9 @@
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
 const tcpUserTimeout = 18
 
-func newConnPool() *connPool {
-	c := &connPool{idle: make(map[endpoint][]*conn)}
+// NewPool returns a pool without connections.
+func NewPool() *Pool {
+	c := &Pool{idle: make(map[endpoint][]*Conn)}
 	c.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: keepAlive,
@@ -78,10 +84,11 @@
 	return c
 }
 
-// A conn is a connection to an upstream. At most one request uses it at a time.
-type conn struct {
+// A Conn is a connection to an upstream. At most one request uses it at a time: whoever gets
+// it either puts it back or closes it.
+type Conn struct {
 	net.Conn
-	pool     *connPool
+	pool     *Pool
 	endpoint endpoint
 	// reader reads from the connection through Read, which bounds heads.
 	reader *bufio.Reader
@@ -91,12 +98,13 @@
 	headLeft int
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
-	// peekResult receives the error of the read that monitors an idle connection.
+	// peekResult receives the error of the read that monitors an idle connection. It holds
+	// one, so that the read ends although nobody waits for it.
 	peekResult chan error
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (c *connPool) get(ctx context.Context, u fleet.Upstream) (*conn, error) {
+// Get returns an idle connection that is still usable, or a new one.
+func (c *Pool) Get(ctx context.Context, u fleet.Upstream) (*Conn, error) {
 	dest := endpoint{u.ID, u.Born, u.Addr}
 	for {
 		unused := c.popIdle(dest)
@@ -118,26 +126,26 @@
 	return newConn(raw, c, dest), nil
 }
 
-func newConn(raw net.Conn, pool *connPool, dest endpoint) *conn {
-	c := &conn{Conn: raw, pool: pool, endpoint: dest}
+func newConn(raw net.Conn, pool *Pool, dest endpoint) *Conn {
+	c := &Conn{Conn: raw, pool: pool, endpoint: dest}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
-// maxHeadBytes bounds the head of an answer together with the interim responses that
+// MaxHeadBytes bounds the head of an answer together with the interim responses that
 // precede it.
-const maxHeadBytes = 32 << 10
+const MaxHeadBytes = 32 << 10
 
-// errResponseTooLong means that a response exceeds a bound, as one without end does.
-var errResponseTooLong = errors.New("response is too long")
+// ErrTooLong means that a response exceeds a bound, as one without end does.
+var ErrTooLong = errors.New("response is too long")
 
 // Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	if !c.inHead {
 		return c.Conn.Read(b)
 	}
 	if c.headLeft == 0 {
-		return 0, errResponseTooLong
+		return 0, ErrTooLong
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
 	c.headLeft -= n
@@ -145,7 +153,7 @@
 }
 
 // popIdle removes and returns the newest idle connection, or nil if there is none.
-func (c *connPool) popIdle(dest endpoint) *conn {
+func (c *Pool) popIdle(dest endpoint) *Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[dest]
@@ -154,15 +162,34 @@
 	}
 	newest := list[len(list)-1]
 	c.idle[dest] = list[:len(list)-1]
-	c.reused++
 	return newest
 }
 
-// sweep closes the idle connections that have expired and those to unknown
-// upstreams.
-func (c *connPool) sweep(known func(id string, born int64) bool) {
+// Made returns the number of connections that were made.
+func (c *Pool) Made() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.made
+}
+
+// Idle returns the number of idle connections to an upstream.
+func (c *Pool) Idle(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for dest, list := range c.idle {
+		if dest.id == id {
+			n += len(list)
+		}
+	}
+	return n
+}
+
+// Sweep closes the idle connections that have expired and those to unknown
+// upstreams. The function is called under the lock of the pool; it must not use the pool.
+func (c *Pool) Sweep(known func(id string, born int64) bool) {
 	now := time.Now()
-	var stale []*conn
+	var stale []*Conn
 	c.mu.Lock()
 	for dest, list := range c.idle {
 		keep := list[:0]
@@ -185,7 +212,7 @@
 
 // revalidate stops monitoring an idle connection and reports whether it is usable:
 // not expired, open, and without unsolicited bytes.
-func (c *conn) revalidate() bool {
+func (c *Conn) revalidate() bool {
 	if !time.Now().Before(c.expires) {
 		return false
 	}
@@ -199,9 +226,9 @@
 	return c.SetReadDeadline(time.Time{}) == nil
 }
 
-// putBack returns the connection to the pool after a whole answer with the given
+// PutBack returns the connection to the pool after a whole answer with the given
 // headers. The headers are nil if the connection was not used.
-func (c *conn) putBack(h http.Header) {
+func (c *Conn) PutBack(h http.Header) {
 	if c.reader.Buffered() > 0 {
 		// Bytes after the answer belong to no request.
 		c.Close()
@@ -228,7 +255,7 @@
 	c.pool.put(c)
 }
 
-func (c *connPool) put(unused *conn) {
+func (c *Pool) put(unused *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[unused.endpoint]) >= maxIdleConns {
@@ -249,18 +276,22 @@
 	return 0, false
 }
 
-// headBufferSize is the buffer size for a request's head, in bytes.
-const headBufferSize = 2 << 10
+const (
+	// headBufferSize is the buffer size for a request's head, in bytes.
+	headBufferSize = 2 << 10
+	// maxBodyBuffer bounds the buffer size for a request's body, in bytes.
+	maxBodyBuffer = 64 << 10
+)
 
-// roundTrip writes a request and reads the head of its answer. A timeout of 0 means
-// no timeout.
-func (c *conn) roundTrip(r *http.Request, bodySize int, timeout time.Duration) (*http.Response, error) {
+// RoundTrip writes a request and reads the head of its answer. A timeout of 0 means
+// no timeout. After an error, the caller closes the connection.
+func (c *Conn) RoundTrip(r *http.Request, bodySize int, timeout time.Duration) (*http.Response, error) {
 	if timeout > 0 {
 		if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
 			return nil, fmt.Errorf("set deadline: %w", err)
 		}
 	}
-	w := bufio.NewWriterSize(c.Conn, headBufferSize+min(bodySize, maxHeaderBytes))
+	w := bufio.NewWriterSize(c.Conn, headBufferSize+min(bodySize, maxBodyBuffer))
 	err := r.Write(w)
 	if err == nil {
 		err = w.Flush()
@@ -268,7 +299,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
-	c.inHead, c.headLeft = true, maxHeadBytes
+	c.inHead, c.headLeft = true, MaxHeadBytes
 	defer func() { c.inHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
@@ -281,8 +312,8 @@
 	}
 }
 
-// setReadTimeout bounds the time of all reads from now on.
-func (c *conn) setReadTimeout(timeout time.Duration) {
+// SetReadTimeout bounds the time of all reads from now on.
+func (c *Conn) SetReadTimeout(timeout time.Duration) {
 	// Setting a deadline fails only on a closed connection; the next read returns that
 	// error.
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
@@ -291,9 +322,3 @@
 // isDeadline reports whether an operation ended at a deadline that this program set. A
 // connection whose other end no longer answers has a timeout as well, but is dead.
 func isDeadline(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
-// isTimeout reports whether an operation on a connection timed out.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/relay/conns_test.go
+++ b/conns/conns_test.go
@@ -1,9 +1,11 @@
-package relay
+package conns
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -19,14 +21,14 @@
 const tolerated = 3 * time.Second
 
 // connectUpstream returns a connection to an upstream and the upstream's end of it.
-func connectUpstream(t *testing.T) (*conn, *net.TCPConn) {
+func connectUpstream(t *testing.T) (*Conn, *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	c, err := newConnPool().get(context.Background(), upstreamAt(l.Addr().String()))
+	c, err := NewPool().Get(context.Background(), upstreamAt(l.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,3 +97,75 @@
 		t.Fatal(err)
 	}
 }
+
+// Bytes that arrive on an idle connection belong to no request; such a connection must
+// not be reused.
+func TestUnusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	pool := NewPool()
+	u := upstreamAt(l.Addr().String())
+	for _, c := range []struct {
+		name   string
+		change func(net.Conn)
+		reused bool
+	}{
+		{"open", func(net.Conn) {}, true},
+		{"unsolicited bytes", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n") }, false},
+		{"closed", func(c net.Conn) { c.Close() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, err := pool.Get(context.Background(), u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := <-accepted
+			first.PutBack(nil)
+			c.change(other)
+			time.Sleep(20 * time.Millisecond)
+			second, err := pool.Get(context.Background(), u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := second == first; got != c.reused {
+				t.Errorf("connection is reused: %v, want %v", got, c.reused)
+			}
+			second.Close()
+			if !c.reused {
+				<-accepted
+			}
+		})
+	}
+}
+
+// A deadConn is a connection whose other end no longer answers the probes of TCP.
+type deadConn struct{ net.Conn }
+
+func (deadConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
+// A connection that died while it was idle must not be reused: nothing that is sent on it
+// arrives, yet a request that runs at most once could not be sent again.
+func TestDeadConnection(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	pool := NewPool()
+	newConn(deadConn{ours}, pool, endpoint{}).PutBack(nil)
+	if pool.popIdle(endpoint{}).revalidate() {
+		t.Error("dead connection is reused")
+	}
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"teaselplank/conns"
 	"teaselplank/proxy"
 )
 
@@ -154,8 +155,8 @@
 }
 
 // bodyRead writes an answer that is not a stream. The body is nil if there is an error.
-func (x *exchange) bodyRead(t *attempt, b *body, err error) {
-	defer b.release()
+func (x *exchange) bodyRead(t *attempt, b *conns.Body, err error) {
+	defer b.Release()
 	if !x.isOpen(t) {
 		return
 	}
@@ -164,9 +165,9 @@
 		return
 	}
 	x.copyHeader(t)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(b.size))
+	x.writer.Header().Set("Content-Length", strconv.Itoa(b.Size()))
 	x.writer.WriteHeader(t.response.StatusCode)
-	b.writeTo(x.writer)
+	b.CopyTo(x.writer)
 	x.reportFinished(t)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"teaselplank/conns"
 	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/proxy"
@@ -23,7 +24,7 @@
 	send     proxy.Send
 	// cancel ends the attempt and closes its connection.
 	cancel   context.CancelFunc
-	conn     *conn
+	conn     *conns.Conn
 	response *http.Response
 	// stopClosing keeps cancel from closing the connection. It returns false if the
 	// connection was closed already.
@@ -87,11 +88,11 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		c.putBack(nil)
+		c.PutBack(nil)
 		return proxy.Unreachable, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	response, err := c.roundTrip(r, len(x.body), 0)
+	response, err := c.RoundTrip(r, len(x.body), 0)
 	if err != nil {
 		stop()
 		c.Close()
@@ -109,13 +110,13 @@
 		t.conn.Close()
 		return
 	}
-	t.conn.putBack(t.response.Header)
+	t.conn.PutBack(t.response.Header)
 }
 
 // discard reads the rest of an answer that is not passed on, if it is short and arrives
 // soon.
 func (t *attempt) discard() {
-	t.conn.setReadTimeout(discardTimeout)
+	t.conn.SetReadTimeout(discardTimeout)
 	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxDiscardBytes+1))
 	t.finish(err == nil && n <= maxDiscardBytes)
 }
@@ -157,17 +158,17 @@
 // readBody passes the body on once it is complete.
 func (t *attempt) readBody() {
 	x := t.exchange
-	b, err := x.server.bodies.read(t.response.Body)
+	b, err := x.server.bodies.ReadAll(t.response.Body)
 	t.finish(err == nil)
 	if !x.post(func() { x.bodyRead(t, b, err) }) {
-		b.release()
+		b.Release()
 	}
 }
 
 // failureOf returns the failure for an error of reading an answer.
 func failureOf(err error) proxy.Failure {
 	switch {
-	case errors.Is(err, errResponseTooLong), errors.Is(err, events.ErrTooLong):
+	case errors.Is(err, conns.ErrTooLong), errors.Is(err, events.ErrTooLong):
 		return proxy.ResponseTooLong
 	case isTimeout(err):
 		return proxy.ResponseTimeout
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 
 	"teaselplank/batch"
+	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/member"
 	"teaselplank/proxy"
@@ -23,8 +26,8 @@
 // connect returns an idle or a new connection to an upstream. It then checks again
 // that the upstream accepts work, as it may have announced that it is leaving while the
 // connection was made.
-func (s *Server) connect(ctx context.Context, u fleet.Upstream) (*conn, error) {
-	c, err := s.conns.get(ctx, u)
+func (s *Server) connect(ctx context.Context, u fleet.Upstream) (*conns.Conn, error) {
+	c, err := s.conns.Get(ctx, u)
 	if err != nil {
 		s.metrics.countUpstreamFailure(u.Service, "dial")
 		if isTimeout(err) {
@@ -33,12 +36,18 @@
 		return nil, fmt.Errorf("connect to %q: %w: %w", u.ID, errUnreachable, err)
 	}
 	if !s.usable(u) {
-		c.putBack(nil)
+		c.PutBack(nil)
 		return nil, fmt.Errorf("connect to %q: %w", u.ID, errUpstreamUnusable)
 	}
 	return c, nil
 }
 
+// isTimeout reports whether an operation on a connection timed out.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (s *Server) usable(u fleet.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"teaselplank/batch"
+	"teaselplank/conns"
 	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/peerpb"
@@ -28,6 +29,8 @@
 	// promptly is the time within which a request that meets endless bytes has its final
 	// answer. It is shorter than the time after which an attempt gives up on a head.
 	promptly = time.Second
+	// textRepeats is how often an endlessReader has its text in memory.
+	textRepeats = 4 << 10
 )
 
 // A countingReader counts the bytes that were read from it.
@@ -49,7 +52,7 @@
 }
 
 func newEndlessReader(text string) *endlessReader {
-	return &endlessReader{text: strings.Repeat(text, readBufferSize)}
+	return &endlessReader{text: strings.Repeat(text, textRepeats)}
 }
 
 func (e *endlessReader) Read(b []byte) (int, error) {
@@ -89,11 +92,9 @@
 func (d *deployment) wantNoIdleConns(t *testing.T, service string) {
 	t.Helper()
 	pool := d.nodes[0].server.conns
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	for dest, list := range pool.idle {
-		if len(list) > 0 && d.workers[dest.id].Service == service {
-			t.Errorf("%d connections to %q are kept", len(list), dest.id)
+	for id, w := range d.workers {
+		if n := pool.Idle(id); n > 0 && w.Service == service {
+			t.Errorf("%d connections to %q are kept", n, id)
 		}
 	}
 }
@@ -101,32 +102,6 @@
 // An upstream that sends a head or interim responses without end must not cost more
 // memory than any other, nor hold its request until the deadline.
 func TestEndlessHead(t *testing.T) {
-	for name, text := range map[string]string{
-		"header lines": "X-Filler: x\r\n", "one line": "x", "interim responses": "HTTP/1.1 103 Early Hints\r\n\r\n",
-	} {
-		t.Run(name, func(t *testing.T) {
-			begin := "HTTP/1.1 200 OK\r\n"
-			if name == "interim responses" {
-				begin = ""
-			}
-			ours, theirs := net.Pipe()
-			defer ours.Close()
-			var read atomic.Int64
-			go func() { _, _ = io.Copy(io.Discard, theirs) }()
-			go func() {
-				defer theirs.Close()
-				limited := io.LimitReader(newEndlessReader(text), 16*maxResponseMemory)
-				_, _ = io.Copy(theirs, countingReader{io.MultiReader(strings.NewReader(begin), limited), &read})
-			}()
-			r := httptest.NewRequest(http.MethodGet, "/", nil)
-			if _, err := newConn(ours, newConnPool(), endpoint{}).roundTrip(r, 0, 0); err == nil {
-				t.Error("an endless head was read")
-			}
-			if n := read.Load(); n > maxResponseMemory {
-				t.Errorf("%d bytes were read, want at most %d", n, maxResponseMemory)
-			}
-		})
-	}
 	for _, fault := range []stand.Fault{stand.FaultEndlessHead, stand.FaultEndlessInterim} {
 		t.Run(string(fault), func(t *testing.T) {
 			d := deploy(t, 1)
@@ -167,15 +142,35 @@
 // refusalHoldTime is longer than a node avoids an upstream after a refusal.
 const refusalHoldTime = 100 * time.Millisecond
 
+// idleUpstream returns an upstream that sends nothing.
+func idleUpstream(t *testing.T) fleet.Upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return fleet.Upstream{ID: "u", Addr: l.Addr().String()}
+}
+
+// connectTo returns a connection of a pool.
+func connectTo(t *testing.T, pool *conns.Pool, u fleet.Upstream) *conns.Conn {
+	t.Helper()
+	c, err := pool.Get(t.Context(), u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // A connection on which a body was only partly read must not be used again.
 func TestPartlyReadRefusal(t *testing.T) {
-	ours, theirs := net.Pipe()
-	defer theirs.Close()
 	body := io.NopCloser(io.LimitReader(newEndlessReader("x"), maxDiscardBytes+1))
-	pool := newConnPool()
-	attempt := &attempt{response: &http.Response{Body: body}, conn: newConn(ours, pool, endpoint{}), stopClosing: func() bool { return true }}
+	pool := conns.NewPool()
+	u := idleUpstream(t)
+	attempt := &attempt{response: &http.Response{Body: body}, conn: connectTo(t, pool, u), stopClosing: func() bool { return true }}
 	attempt.discard()
-	if len(pool.idle[endpoint{}]) > 0 {
+	if pool.Idle(u.ID) > 0 {
 		t.Error("connection is kept, want it closed")
 	}
 }
@@ -211,17 +206,17 @@
 	var exchanges sync.WaitGroup
 	stalled, ended := make(chan struct{}), make(chan struct{})
 	close(ended)
+	u := idleUpstream(t)
 	for range maxResponsesInFlight {
+		c := connectTo(t, s.conns, u)
 		exchanges.Go(func() {
-			ours, theirs := net.Pipe()
-			defer theirs.Close()
 			var read atomic.Int64
 			body := io.MultiReader(io.LimitReader(newEndlessReader("x"), bodySize), stalledReader{stalled})
 			counted := io.TeeReader(body, addingWriter{&held, &read})
 			a := &attempt{
 				exchange: &exchange{server: s, ended: ended}, send: proxy.Send{Route: &fleet.Route{Kind: fleet.Safe}},
 				response: &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(counted)},
-				conn:     newConn(ours, s.conns, endpoint{}), stopClosing: func() bool { return true },
+				conn:     c, stopClosing: func() bool { return true },
 			}
 			a.readBody()
 			held.Add(-read.Load())
@@ -286,21 +281,6 @@
 // A connection on which bytes arrive after a complete answer must be closed before its next
 // use, as the system's buffers would fill up.
 func TestEndlessExtraBytes(t *testing.T) {
-	t.Run("on an idle connection", func(t *testing.T) {
-		ours, theirs := net.Pipe()
-		defer theirs.Close()
-		newConn(ours, newConnPool(), endpoint{}).putBack(nil)
-		// A pipe whose other end is closed takes no deadline.
-		if err := theirs.SetReadDeadline(time.Now().Add(promptly)); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := io.WriteString(theirs, "x"); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := theirs.Read(make([]byte, 1)); err != io.EOF {
-			t.Errorf("connection has the error %v, want it closed", err)
-		}
-	})
 	t.Run(string(stand.FaultEndlessExtra), func(t *testing.T) {
 		d := deploy(t, 1)
 		d.setFaults(stand.ServiceDesk, stand.FaultEndlessExtra)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -83,11 +83,7 @@
 			defer s.mu.Unlock()
 			return float64(s.configVersion())
 		}),
-		gauge("upstream_connections_made", "Connections made to upstreams.", func() float64 {
-			s.conns.mu.Lock()
-			defer s.conns.mu.Unlock()
-			return float64(s.conns.made)
-		}),
+		gauge("upstream_connections_made", "Connections made to upstreams.", func() float64 { return float64(s.conns.Made()) }),
 	)
 	return m
 }
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"teaselplank/batch"
+	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/trace"
 )
@@ -226,14 +227,14 @@
 		return 0, nil, nil, batch.Unreachable
 	}
 	sent := time.Now()
-	response, err := c.roundTrip(r, int(r.ContentLength), timeout)
+	response, err := c.RoundTrip(r, int(r.ContentLength), timeout)
 	if err != nil {
 		c.Close()
 		s.metrics.countUpstreamFailure(u.Service, "exchange")
 		return 0, nil, nil, batch.ConnectionFailed
 	}
 	s.observeNotice(u, response)
-	c.setReadTimeout(time.Until(sent.Add(timeout)))
+	c.SetReadTimeout(time.Until(sent.Add(timeout)))
 	body, err := readReply(response.Body)
 	if err != nil {
 		c.Close()
@@ -243,7 +244,7 @@
 	if response.Close {
 		c.Close()
 	} else {
-		c.putBack(response.Header)
+		c.PutBack(response.Header)
 	}
 	return response.StatusCode, response.Header, body, batch.NoFailure
 }
@@ -258,7 +259,7 @@
 		return nil, fmt.Errorf("read reply: %w", err)
 	}
 	if len(data) > maxReplyBytes {
-		return nil, fmt.Errorf("read reply: %w", errResponseTooLong)
+		return nil, fmt.Errorf("read reply: %w", conns.ErrTooLong)
 	}
 	return data, nil
 }
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -107,7 +107,7 @@
 		return d.nodes[0].server.stageOwner("a").ID == "node-0" && d.nodes[1].server.stageOwner("a").ID == "node-0"
 	})
 	d.nodes[0].server.close()
-	d.nodes[0].server.conns.sweep(func(string, int64) bool { return false })
+	d.nodes[0].server.conns.Sweep(func(string, int64) bool { return false })
 	r := d.ask(d.nodes[1], stand.PathStream)
 	wantStatus(t, r, http.StatusOK)
 	if r.body != allEvents {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/health"
 	"teaselplank/member"
@@ -59,7 +60,7 @@
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: conns.MaxHeadBytes,
 	}
 	return &peers{client: &http.Client{Transport: boundedTransport{transport}}, byAddr: make(map[string]*peerConn)}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/conf"
+	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/infra"
 	"teaselplank/listen"
@@ -110,8 +111,8 @@
 
 	owner    *owner
 	peers    *peers
-	conns    *connPool
-	bodies   bodyPool
+	conns    *conns.Pool
+	bodies   conns.BodyPool
 	releases releaseQueue
 	origins  *origins
 	crashes  *crashLog
@@ -160,7 +161,7 @@
 	config.Self, config.Seeds = s.self, o.Settings.Seeds
 	config.SuspectAfter = peerSuspectAfter
 	s.group = member.New(config, uint64(s.started.UnixNano()))
-	s.conns = newConnPool()
+	s.conns = conns.NewPool()
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
 	s.origins = newOrigins(s, o.Origins)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -190,78 +187,6 @@
 	d.wantRuns(r.id, stand.ServiceEngine, 1, 1)
 }
 
-// Bytes that arrive on an idle connection belong to no request; such a connection must
-// not be reused.
-func TestUnusedConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	accepted := make(chan net.Conn, 4)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- c
-		}
-	}()
-	pool := newConnPool()
-	u := upstreamAt(l.Addr().String())
-	for _, c := range []struct {
-		name   string
-		change func(net.Conn)
-		reused bool
-	}{
-		{"open", func(net.Conn) {}, true},
-		{"unsolicited bytes", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n") }, false},
-		{"closed", func(c net.Conn) { c.Close() }, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			first, err := pool.get(context.Background(), u)
-			if err != nil {
-				t.Fatal(err)
-			}
-			other := <-accepted
-			first.putBack(nil)
-			c.change(other)
-			time.Sleep(20 * time.Millisecond)
-			second, err := pool.get(context.Background(), u)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got := second == first; got != c.reused {
-				t.Errorf("connection is reused: %v, want %v", got, c.reused)
-			}
-			second.Close()
-			if !c.reused {
-				<-accepted
-			}
-		})
-	}
-}
-
-// A deadConn is a connection whose other end no longer answers the probes of TCP.
-type deadConn struct{ net.Conn }
-
-func (deadConn) Read([]byte) (int, error) {
-	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
-}
-
-// A connection that died while it was idle must not be reused: nothing that is sent on it
-// arrives, yet a request that runs at most once could not be sent again.
-func TestDeadConnection(t *testing.T) {
-	ours, theirs := net.Pipe()
-	defer theirs.Close()
-	pool := newConnPool()
-	newConn(deadConn{ours}, pool, endpoint{}).putBack(nil)
-	if pool.popIdle(endpoint{}).revalidate() {
-		t.Error("dead connection is reused")
-	}
-}
-
 // A leaving worker must get no new requests once the nodes know that it leaves.
 func TestDraining(t *testing.T) {
 	d := deploy(t, 2)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -275,7 +275,7 @@
 func (s *Server) sweepLoop() {
 	for s.sleep(sweepInterval) {
 		s.step(proxy.CasesTick{})
-		s.conns.sweep(func(id string, born int64) bool {
+		s.conns.Sweep(func(id string, born int64) bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			u, ok := s.directory.Get(id)
