Move the timer of silences to a package of its own

What was seen: the timer that tells when an upstream has been silent for too long is used by attempts alone, needs nothing of relay, and had no test without a whole deployment.

Change: package stall has the Timer, its functions as they were. Tests of whole deployments in silence stay in relay.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -20,13 +20,13 @@
 	ctx, cancel := context.WithCancel(x.context)
 	t := &attempt{exchange: x, send: e, cancel: cancel}
 	x.attempts[e.Attempt] = t
-	t.silence.start(e.StallAfter, func() { x.post(func() { x.checkSilence(t) }) })
+	t.silence.Start(e.StallAfter, func() { x.post(func() { x.checkSilence(t) }) })
 	go t.run(ctx)
 }
 
 // end removes an attempt that has ended or is to end.
 func (x *exchange) end(t *attempt) {
-	t.silence.stop()
+	t.silence.Stop()
 	delete(x.attempts, t.send.Attempt)
 }
 
@@ -43,18 +43,18 @@
 
 // checkSilence reports an attempt whose upstream is silent.
 func (x *exchange) checkSilence(t *attempt) {
-	if !x.isOpen(t) || !t.silence.expired() {
+	if !x.isOpen(t) || !t.silence.Expired() {
 		return
 	}
 	x.step(proxy.AttemptStalled{
-		Number: x.request.Number, Attempt: t.send.Attempt, Silence: t.silence.length(),
+		Number: x.request.Number, Attempt: t.send.Attempt, Silence: t.silence.Length(),
 		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
 	})
 }
 
 // received records that an upstream has sent something.
 func (x *exchange) received(t *attempt) {
-	length, reported := t.silence.end()
+	length, reported := t.silence.End()
 	if reported {
 		x.step(proxy.AttemptContinued{Number: x.request.Number, Attempt: t.send.Attempt, Silence: length})
 	}
@@ -76,7 +76,7 @@
 		cause = err.Error()
 	}
 	x.step(proxy.AttemptFailed{
-		Number: x.request.Number, Attempt: t.send.Attempt, Failure: failure, Silence: t.silence.length(), Cause: cause,
+		Number: x.request.Number, Attempt: t.send.Attempt, Failure: failure, Silence: t.silence.Length(), Cause: cause,
 		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
 	})
 }
@@ -103,7 +103,7 @@
 	if t.isStream() && t.send.Route.Resumable {
 		limit = streamIdleTimeout
 	}
-	t.silence.restart(limit)
+	t.silence.Restart(limit)
 }
 
 // eventsRead writes events to the client and ends the answer at the end of the stream.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,6 +15,7 @@
 	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/proxy"
+	"teaselplank/stall"
 )
 
 // An attempt is one try to get the answer of a request from an upstream. A goroutine of
@@ -32,7 +33,7 @@
 
 	// Only the exchange's goroutine uses the fields below, but for delivers, which the
 	// attempt reads after a call to the exchange has set it.
-	silence silenceTimer
+	silence stall.Timer
 	// delivers is true once the answer is to be passed on, and started once its first
 	// event was.
 	delivers bool
--- a/relay/client.go
+++ b/relay/client.go
@@ -128,7 +128,7 @@
 func (x *exchange) close() {
 	close(x.ended)
 	for _, t := range x.attempts {
-		t.silence.stop()
+		t.silence.Stop()
 	}
 	x.stopTimer()
 	x.cancel()
