--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"teaselplank/conns"
 	"teaselplank/proxy"
 )
 
@@ -19,13 +20,13 @@
 	ctx, cancel := context.WithCancel(x.context)
 	t := &attempt{exchange: x, send: e, cancel: cancel}
 	x.attempts[e.Attempt] = t
-	t.silence.start(e.StallAfter, func() { x.post(func() { x.checkSilence(t) }) })
+	t.silence.Start(e.StallAfter, func() { x.post(func() { x.checkSilence(t) }) })
 	go t.run(ctx)
 }
 
 // end removes an attempt that has ended or is to end.
 func (x *exchange) end(t *attempt) {
-	t.silence.stop()
+	t.silence.Stop()
 	delete(x.attempts, t.send.Attempt)
 }
 
@@ -42,18 +43,18 @@
 
 // checkSilence reports an attempt whose upstream is silent.
 func (x *exchange) checkSilence(t *attempt) {
-	if !x.isOpen(t) || !t.silence.expired() {
+	if !x.isOpen(t) || !t.silence.Expired() {
 		return
 	}
 	x.step(proxy.AttemptStalled{
-		Number: x.request.Number, Attempt: t.send.Attempt, Silence: t.silence.length(),
+		Number: x.request.Number, Attempt: t.send.Attempt, Silence: t.silence.Length(),
 		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
 	})
 }
 
 // received records that an upstream has sent something.
 func (x *exchange) received(t *attempt) {
-	length, reported := t.silence.end()
+	length, reported := t.silence.End()
 	if reported {
 		x.step(proxy.AttemptContinued{Number: x.request.Number, Attempt: t.send.Attempt, Silence: length})
 	}
@@ -75,7 +76,7 @@
 		cause = err.Error()
 	}
 	x.step(proxy.AttemptFailed{
-		Number: x.request.Number, Attempt: t.send.Attempt, Failure: failure, Silence: t.silence.length(), Cause: cause,
+		Number: x.request.Number, Attempt: t.send.Attempt, Failure: failure, Silence: t.silence.Length(), Cause: cause,
 		LastEventID: x.lastEventID, ResponseStarted: x.headSent,
 	})
 }
@@ -102,7 +103,7 @@
 	if t.isStream() && t.send.Route.Resumable {
 		limit = streamIdleTimeout
 	}
-	t.silence.restart(limit)
+	t.silence.Restart(limit)
 }
 
 // eventsRead writes events to the client and ends the answer at the end of the stream.
@@ -154,8 +155,8 @@
 }
 
 // bodyRead writes an answer that is not a stream. The body is nil if there is an error.
-func (x *exchange) bodyRead(t *attempt, b *body, err error) {
-	defer b.release()
+func (x *exchange) bodyRead(t *attempt, b *conns.Body, err error) {
+	defer b.Release()
 	if !x.isOpen(t) {
 		return
 	}
@@ -164,9 +165,9 @@
 		return
 	}
 	x.copyHeader(t)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(b.size))
+	x.writer.Header().Set("Content-Length", strconv.Itoa(b.Size()))
 	x.writer.WriteHeader(t.response.StatusCode)
-	b.writeTo(x.writer)
+	b.CopyTo(x.writer)
 	x.reportFinished(t)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,8 +11,11 @@
 	"strings"
 	"time"
 
+	"teaselplank/conns"
+	"teaselplank/events"
 	"teaselplank/fleet"
 	"teaselplank/proxy"
+	"teaselplank/stall"
 )
 
 // An attempt is one try to get the answer of a request from an upstream. A goroutine of
@@ -22,7 +25,7 @@
 	send     proxy.Send
 	// cancel ends the attempt and closes its connection.
 	cancel   context.CancelFunc
-	conn     *conn
+	conn     *conns.Conn
 	response *http.Response
 	// stopClosing keeps cancel from closing the connection. It returns false if the
 	// connection was closed already.
@@ -30,7 +33,7 @@
 
 	// Only the exchange's goroutine uses the fields below, but for delivers, which the
 	// attempt reads after a call to the exchange has set it.
-	silence silenceTimer
+	silence stall.Timer
 	// delivers is true once the answer is to be passed on, and started once its first
 	// event was.
 	delivers bool
@@ -86,11 +89,11 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		c.putBack(nil)
+		c.PutBack(nil)
 		return proxy.Unreachable, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	response, err := c.roundTrip(r, len(x.body), 0)
+	response, err := c.RoundTrip(r, len(x.body), 0)
 	if err != nil {
 		stop()
 		c.Close()
@@ -108,13 +111,13 @@
 		t.conn.Close()
 		return
 	}
-	t.conn.putBack(t.response.Header)
+	t.conn.PutBack(t.response.Header)
 }
 
 // discard reads the rest of an answer that is not passed on, if it is short and arrives
 // soon.
 func (t *attempt) discard() {
-	t.conn.setReadTimeout(discardTimeout)
+	t.conn.SetReadTimeout(discardTimeout)
 	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxDiscardBytes+1))
 	t.finish(err == nil && n <= maxDiscardBytes)
 }
@@ -126,11 +129,13 @@
 // readEvents passes events on as they arrive, each of them whole.
 func (t *attempt) readEvents() {
 	x := t.exchange
-	events := newEventReader(t.response.Body, t.send.LastEventID)
+	reader := events.NewReader(t.response.Body, t.send.LastEventID)
 	// A resumed stream may have no event left.
-	events.needsEvent = endsWithConnection(t.response) && t.send.LastEventID == ""
+	if endsWithConnection(t.response) && t.send.LastEventID == "" {
+		reader.RequireEvent()
+	}
 	for {
-		data, id, err := events.next()
+		data, id, err := reader.Next()
 		if err != nil {
 			t.finish(err == io.EOF)
 		}
@@ -154,17 +159,17 @@
 // readBody passes the body on once it is complete.
 func (t *attempt) readBody() {
 	x := t.exchange
-	b, err := x.server.bodies.read(t.response.Body)
+	b, err := x.server.bodies.ReadAll(t.response.Body)
 	t.finish(err == nil)
 	if !x.post(func() { x.bodyRead(t, b, err) }) {
-		b.release()
+		b.Release()
 	}
 }
 
 // failureOf returns the failure for an error of reading an answer.
 func failureOf(err error) proxy.Failure {
 	switch {
-	case errors.Is(err, errResponseTooLong):
+	case errors.Is(err, conns.ErrTooLong), errors.Is(err, events.ErrTooLong):
 		return proxy.ResponseTooLong
 	case isTimeout(err):
 		return proxy.ResponseTimeout
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"teaselplank/batch"
+	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/trace"
 )
@@ -83,7 +84,7 @@
 			go o.sendCall(e)
 		case batch.Overdue:
 			// All connections to the worker may be lost. The probe makes a new one.
-			o.server.conns.closeIdle(e.Worker)
+			o.server.conns.CloseIdle(e.Worker)
 			o.server.logger.Warn("stage call is overdue", "call", e.Call, "service", e.Worker.Service, "worker", e.Worker.ID,
 				"zone", e.Worker.Zone, "pieces", e.Pieces, "repeated", e.Repeated, "first", e.First.Request, "last", e.Last.Request)
 		case batch.Free:
@@ -231,14 +232,14 @@
 		return 0, nil, nil, batch.Unreachable
 	}
 	sent := time.Now()
-	response, err := c.roundTrip(r, int(r.ContentLength), timeout)
+	response, err := c.RoundTrip(r, int(r.ContentLength), timeout)
 	if err != nil {
 		c.Close()
 		s.metrics.countUpstreamFailure(u.Service, "exchange")
 		return 0, nil, nil, batch.ConnectionFailed
 	}
 	s.observeNotice(u, response)
-	c.setReadTimeout(time.Until(sent.Add(timeout)))
+	c.SetReadTimeout(time.Until(sent.Add(timeout)))
 	body, err := readReply(response.Body)
 	if err != nil {
 		c.Close()
@@ -248,7 +249,7 @@
 	if response.Close {
 		c.Close()
 	} else {
-		c.putBack(response.Header)
+		c.PutBack(response.Header)
 	}
 	return response.StatusCode, response.Header, body, batch.NoFailure
 }
@@ -263,7 +264,7 @@
 		return nil, fmt.Errorf("read reply: %w", err)
 	}
 	if len(data) > maxReplyBytes {
-		return nil, fmt.Errorf("read reply: %w", errResponseTooLong)
+		return nil, fmt.Errorf("read reply: %w", conns.ErrTooLong)
 	}
 	return data, nil
 }
