--- a/poison/poison.go
+++ b/poison/poison.go
@@ -215,8 +215,8 @@
 }
 
 // Completed records a response to a request with the parts that was completed, or that goes
-// on long after its beginning: their cases so far do not count. It returns those that must be refuted at other nodes at once, because they
-// are about to hold sound requests back.
+// on long after its beginning: their cases so far do not count. It returns those that must
+// be refuted at other nodes at once, because they are about to hold sound requests back.
 func (d *Detector) Completed(now time.Time, parts []string) (refuted []Case) {
 	d.completed.Limit = maxCompleted
 	for _, part := range parts {
