Read the cases anew once a silent store answers again

A host that waited for new cases when the store fell silent got none for up to 32 s after the store was back: the read of up to 30 s never gets its answer, and only the read of the configuration was restarted. Requests with a part that crashes upstreams went on reaching them from that host meanwhile. TestCasesUnreadAfterSilentStore, 3 s of silence and 3 s of a store that answers: the other host did not know the part 3 s after the last crash.

TestPartLearnedWithoutStore has the crashes at one of three hosts while the store is down or silent: the others learn the part from it, and the store has the cases once it is back.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -135,6 +135,77 @@
 	}
 }
 
+// Nodes must learn from each other while they cannot read the store, and the store must have what they learned once it is back.
+func TestPartLearnedWithoutStore(t *testing.T) {
+	cases := map[string]struct{ fail, restore func(*stand.Store) }{
+		"store is down": {
+			func(s *stand.Store) { s.SetUnavailable(true) }, func(s *stand.Store) { s.SetUnavailable(false) },
+		},
+		"store is silent": {
+			func(s *stand.Store) { s.SetStalled(true) }, func(s *stand.Store) { s.SetStalled(false) },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, part := deployWithCrashes(t, 3)
+			c.fail(d.store)
+			for i := range crashesToLearn {
+				d.askPrompt(d.nodes[0], fmt.Sprint("crashing-", i), stand.PathOnce, part.ID)
+			}
+			for _, n := range d.nodes {
+				d.await("the node knows the part", n.knowsPart)
+			}
+			arrivals := part.ArrivalsAfter(time.Time{})
+			for i, n := range d.nodes {
+				wantStatus(t, d.askPrompt(n, fmt.Sprint("held-", i), stand.PathOnce, part.ID), http.StatusServiceUnavailable)
+			}
+			if got := part.ArrivalsAfter(time.Time{}) - arrivals; got > 0 {
+				t.Errorf("%d requests with the part reached upstreams, want none", got)
+			}
+			c.restore(d.store)
+			for _, n := range d.nodes {
+				d.await("all cases are written", n.hasWrittenCases)
+				n.stop()
+				n.server.close()
+			}
+			late := d.addNode("late")
+			d.await("a new node knows the part", late.knowsPart)
+		})
+	}
+}
+
+// A read of cases that a silent store never answers must not keep nodes from learning once
+// the store has answered again for a while.
+func TestCasesUnreadAfterSilentStore(t *testing.T) {
+	const silence, stable = 3 * time.Second, 3 * time.Second
+	d, part := deployWithCrashes(t, 2)
+	d.store.SetStalled(true)
+	time.Sleep(silence)
+	d.store.SetStalled(false)
+	time.Sleep(stable)
+	for i := range crashesToLearn {
+		d.askPrompt(d.nodes[0], fmt.Sprint("crashing-", i), stand.PathOnce, part.ID)
+	}
+	time.Sleep(learnTime)
+	if !d.nodes[1].knowsPart() {
+		t.Errorf("the other node does not know the part %s after its last crash", learnTime)
+	}
+}
+
+// knowsPart reports whether a node holds requests back for parts of their prompts.
+func (n *testNode) knowsPart() bool {
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	return len(n.server.node.PoisonGroups()) > 0
+}
+
+// hasWrittenCases reports whether no case waits to be written to the store.
+func (n *testNode) hasWrittenCases() bool {
+	n.server.crashes.mu.Lock()
+	defer n.server.crashes.mu.Unlock()
+	return !n.server.crashes.writing
+}
+
 // An upstream that only breaks a connection must not be taken for one that has ended, and
 // one that has ended must be recognized also behind a proxy.
 func TestHasEnded(t *testing.T) {
--- a/relay/store.go
+++ b/relay/store.go
@@ -196,9 +196,10 @@
 		state.lastRead = now
 		if wasFailing && stream == infra.StreamUpstreams {
 			s.directory.StoreRecovered(now)
-			// If the read of the configuration was sent before the store stopped
-			// answering, it may get no answer although newer reads do.
+			// If the long reads were sent before the store stopped answering, they may
+			// get no answer although newer reads do.
 			s.streamState(infra.StreamConfig).cancelRead()
+			s.streamState(infra.StreamCrashes).cancelRead()
 		}
 	}
 	s.mu.Unlock()
