Write lost cases again from one host after another

After the store was restored from a copy, each host wrote all cases that the copy lacked, at the same moment: with the 295 hosts of a large deployment each case 295 times, against a store that counts and delays writes. Cases that had been refuted since the copy were not written again at all, as the copy had their keys, so that hosts that start later counted them. Found by reading; TestCasesLostInCopy timed out waiting for the refuted case.

A host now waits for a time of its own, 20 ms a host and one second in all at least, reads all cases again and writes what is still missing, also refutations.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -61,6 +61,10 @@
 	maxCasesWait = 2 * time.Second
 	// maxKeepDelay bounds the differences between nodes in how long they keep cases.
 	maxKeepDelay = 2 * time.Minute
+	// rewriteInterval is the time that each node has to write the cases that a restored
+	// store lacks, and minRewriteSpread the shortest time for all nodes.
+	rewriteInterval  = 20 * time.Millisecond
+	minRewriteSpread = time.Second
 	// maxPendingCases bounds the cases that wait to be written to the store.
 	maxPendingCases = 1024
 )
@@ -78,36 +82,73 @@
 }
 
 // applyCaseRecords applies cases that nodes have written to the store. If the records are
-// all that the store has, the cases that it lacks are written again.
+// all that the store has, the cases that it lacks are written again later.
 func (s *Server) applyCaseRecords(records []infra.KeyedRecord, all bool) {
 	known := s.knownCases()
-	var cases, forgotten []poison.Case
+	read, forgotten := s.parseCases(records, known)
+	s.mu.Lock()
+	s.casesKnown = true
+	s.mu.Unlock()
+	s.step(proxy.CasesRead{Cases: read})
+	s.step(proxy.CasesForgotten{Cases: forgotten})
+	if all && len(lacking(known, read)) > 0 {
+		go s.rewriteCases()
+	}
+}
+
+// parseCases returns the cases of records, and those of the known ones that records remove.
+func (s *Server) parseCases(records []infra.KeyedRecord, known map[string]poison.Case) (read, forgotten []poison.Case) {
 	for _, r := range records {
-		c, ok := known[r.Key]
-		delete(known, r.Key)
 		if len(r.Value) == 0 {
-			if ok {
+			if c, ok := known[r.Key]; ok {
 				forgotten = append(forgotten, c)
 			}
 			continue
 		}
-		var read poison.Case
-		if err := json.Unmarshal(r.Value, &read); err != nil || read.Key() != r.Key {
+		var c poison.Case
+		if err := json.Unmarshal(r.Value, &c); err != nil || c.Key() != r.Key {
 			s.metrics.countInvalid("case")
 			continue
 		}
-		cases = append(cases, read)
+		read = append(read, c)
+	}
+	return read, forgotten
+}
+
+// lacking returns those of the known cases that the read ones lack: they are not there, or
+// are refuted only here.
+func lacking(known map[string]poison.Case, read []poison.Case) []poison.Case {
+	stored := make(map[string]poison.Case, len(read))
+	for _, c := range read {
+		stored[c.Key()] = c
 	}
-	if all {
-		for _, c := range known {
-			s.crashes.share([]poison.Case{c})
+	var missing []poison.Case
+	for key, c := range known {
+		if old, ok := stored[key]; !ok || c.Weight == poison.Refuted && old.Weight != poison.Refuted {
+			missing = append(missing, c)
 		}
 	}
+	return missing
+}
+
+// rewriteCases writes the cases that the store lacks after it was restored from a copy.
+// Nodes do so one after the other, so that most of them find nothing left to write.
+func (s *Server) rewriteCases() {
 	s.mu.Lock()
-	s.casesKnown = true
+	nodes := len(s.group.Peers()) + 1
 	s.mu.Unlock()
-	s.step(proxy.CasesRead{Cases: cases})
-	s.step(proxy.CasesForgotten{Cases: forgotten})
+	spread := max(minRewriteSpread, time.Duration(nodes)*rewriteInterval)
+	if !s.sleep(time.Duration(xxhash.Sum64String(s.self.ID) % uint64(spread))) {
+		return
+	}
+	page, err := s.readNewest(infra.StreamCrashes)
+	if err != nil {
+		s.logger.Warn("cannot read the cases of prompt parts", "error", err.Error())
+		return
+	}
+	known := s.knownCases()
+	read, _ := s.parseCases(page.Records, known)
+	s.crashes.share(lacking(known, read))
 }
 
 // knownCases returns the cases that the node knows, by their keys in the store.
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -1,15 +1,18 @@
 package relay
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"teaselplank/fleet"
 	"teaselplank/platform/stand"
+	"teaselplank/poison"
 )
 
 const (
@@ -178,6 +181,37 @@
 	}
 }
 
+// Cases that a restored store lacks must be written again, but not by each node, and those
+// that were refuted must not count again.
+func TestCasesLostInCopy(t *testing.T) {
+	const nodes, lost = 8, 40
+	d, _ := deployWithCrashes(t, nodes)
+	s := d.nodes[0].server
+	refuted := poison.Case{Part: "sound", Process: poison.Process{ID: "refuted"}, Weight: poison.Begun}
+	s.crashes.share([]poison.Case{refuted})
+	d.await("the first case is written", d.nodes[0].hasWrittenCases)
+	restore := d.store.Save()
+	refuted.Weight = poison.Refuted
+	s.crashes.share([]poison.Case{refuted})
+	for i := range lost {
+		s.crashes.share([]poison.Case{{Part: fmt.Sprint("part", i), Process: poison.Process{ID: "u"}, Weight: poison.Begun}})
+	}
+	d.await("all cases are known", func() bool {
+		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) <= lost })
+	})
+	restore()
+	_, before := d.store.Values(topicCrashes)
+	d.await("the cases are written again", func() bool {
+		values, _ := d.store.Values(topicCrashes)
+		var c poison.Case
+		return len(values) > lost && json.Unmarshal(values[refuted.Key()], &c) == nil && c.Weight == poison.Refuted
+	})
+	time.Sleep(2 * time.Second)
+	if _, after := d.store.Values(topicCrashes); after-before > 2*(lost+1) {
+		t.Errorf("%d records are written for %d cases by %d nodes, want two for each case at most", after-before, lost+1, nodes)
+	}
+}
+
 // A read of cases that a silent store never answers must not keep nodes from learning once
 // the store has answered again for a while.
 func TestCasesUnreadAfterSilentStore(t *testing.T) {
