Let a part that was sound explain no other one

Two parts that crash upstreams, each in requests that also have a frequent first part, gave the first part the cases of both: after three crashes it was held back with its whole route, and the two others were explained by it. That a response with it had been completed excused it for 2 s only, which a host with a few requests a second or less often exceeds. A subtest of TestPoisonousParts failed: requests with the first part were held back.

For 10 minutes after such a response, a case of the part at the beginning of a response has the weight of one that was waiting. It then covers no part of full weight, and six crashes instead of three hold the part back, if it is at fault after all (a subtest has that too).

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -142,8 +142,18 @@
 // request was only waiting. Many processes may end at once for another reason, and frequent
 // parts are then waiting at all of them.
 func (d *Detector) Excuses(now time.Time, part string, w Weight) bool {
+	if w == Waiting {
+		return d.WasSound(now, part)
+	}
+	at, ok := d.completed.Get(part)
+	return ok && now.Sub(at) < soundTime
+}
+
+// WasSound reports whether responses to requests with a part were completed, so that its
+// cases are more likely those of another part.
+func (d *Detector) WasSound(now time.Time, part string) bool {
 	at, ok := d.completed.Get(part)
-	return ok && (now.Sub(at) < soundTime || w == Waiting && now.Sub(at) < KeepTime)
+	return ok && now.Sub(at) < KeepTime
 }
 
 // suspect returns the entry of a part. If there are too many, it replaces the one that was
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -45,6 +45,9 @@
 			continue
 		}
 		c := poison.Case{Part: part, Process: process, Weight: weight}
+		if n.poison.WasSound(now, part) {
+			c.Weight = poison.Waiting
+		}
 		n.shareCases(n.poison.Add(now, c))
 		check.cases = append(check.cases, c)
 	}
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"teaselplank/fleet"
 	"teaselplank/poison"
 )
 
@@ -25,6 +26,16 @@
 	h.attemptFailed(number, ConnectionFailed, "")
 }
 
+// crash makes a request with the parts arrive and crash the only upstream, the one with the
+// given number.
+func (h *harness) crash(number int, parts ...string) {
+	id := fmt.Sprint("e", number)
+	h.step(UpstreamsRegistered{Upstreams: []fleet.Upstream{{ID: id, Born: 1, Service: "engine", Zone: "a", Slots: 4}}})
+	h.prompt(parts...)
+	h.breakAttempt(1, true)
+	h.step(UpstreamChecked{ID: id, Born: 1, Ended: true})
+}
+
 // shared returns the cases that the last event shares.
 func (h *harness) shared() []poison.Case {
 	var cases []poison.Case
@@ -168,6 +179,34 @@
 		}
 		h.wantHeldBack(false, "part")
 	})
+	t.Run("a part that was sound needs more cases, and explains no other one", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("first")
+		h.respond(1, http.StatusOK, false)
+		h.step(FirstEvent{Number: h.number, Attempt: 1})
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+		h.now = h.now.Add(5 * time.Second)
+		// Two other parts are at fault.
+		for i, bad := range []string{"bad", "worse", "bad", "worse"} {
+			h.crash(i, "first", bad)
+		}
+		h.wantHeldBack(false, "first")
+		h.step(ClientDisconnected{Number: h.number})
+		h.readCases("bad", 1)
+		h.wantHeldBack(true, "first", "bad")
+		h.wantHeldBack(false, "first", "good")
+	})
+	t.Run("a part that was sound crashes upstreams", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("bad")
+		h.respond(1, http.StatusOK, false)
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+		h.now = h.now.Add(5 * time.Second)
+		for i := range 6 {
+			h.crash(i, "bad", fmt.Sprint("other", i))
+		}
+		h.wantHeldBack(true, "bad")
+	})
 	t.Run("an error response proves nothing", func(t *testing.T) {
 		h := newHarness(t)
 		h.prompt("part")
