--- a/poison/poison.go
+++ b/poison/poison.go
@@ -142,8 +142,18 @@
 // request was only waiting. Many processes may end at once for another reason, and frequent
 // parts are then waiting at all of them.
 func (d *Detector) Excuses(now time.Time, part string, w Weight) bool {
+	if w == Waiting {
+		return d.WasSound(now, part)
+	}
+	at, ok := d.completed.Get(part)
+	return ok && now.Sub(at) < soundTime
+}
+
+// WasSound reports whether responses to requests with a part were completed, so that its
+// cases are more likely those of another part.
+func (d *Detector) WasSound(now time.Time, part string) bool {
 	at, ok := d.completed.Get(part)
-	return ok && (now.Sub(at) < soundTime || w == Waiting && now.Sub(at) < KeepTime)
+	return ok && now.Sub(at) < KeepTime
 }
 
 // suspect returns the entry of a part. If there are too many, it replaces the one that was
@@ -323,11 +333,16 @@
 	return list
 }
 
-// Cases returns all cases, also the refuted ones.
+// Cases returns all cases, also the refuted ones, those of the parts with the largest weight
+// first.
 func (d *Detector) Cases() []Case {
+	parts := slices.SortedFunc(maps.Keys(d.suspects), func(a, b string) int {
+		s, o := d.suspects[a], d.suspects[b]
+		return cmp.Or(cmp.Compare(o.weight, s.weight), o.lastSeen.Compare(s.lastSeen), cmp.Compare(a, b))
+	})
 	var list []Case
-	for part, s := range d.suspects {
-		list = append(list, s.list(part)...)
+	for _, part := range parts {
+		list = append(list, d.suspects[part].list(part)...)
 	}
 	return list
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -1,15 +1,21 @@
 package relay
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/peerpb"
 	"teaselplank/platform/stand"
+	"teaselplank/poison"
+	"teaselplank/proxy"
 )
 
 const (
@@ -135,6 +141,142 @@
 	}
 }
 
+// Nodes must learn from each other while they cannot read the store, or a part of it, and the
+// store must have what they learned once it is back.
+func TestPartLearnedWithoutStore(t *testing.T) {
+	cases := map[string]struct{ fail, restore func(*stand.Store) }{
+		"store is down": {
+			func(s *stand.Store) { s.SetUnavailable(true) }, func(s *stand.Store) { s.SetUnavailable(false) },
+		},
+		"store is silent": {
+			func(s *stand.Store) { s.SetStalled(true) }, func(s *stand.Store) { s.SetStalled(false) },
+		},
+		"cases are down": {
+			func(s *stand.Store) { s.SetTopicUnavailable(topicCrashes) }, func(s *stand.Store) { s.SetTopicUnavailable("") },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, part := deployWithCrashes(t, 3)
+			c.fail(d.store)
+			for i := range crashesToLearn {
+				d.askPrompt(d.nodes[0], fmt.Sprint("crashing-", i), stand.PathOnce, part.ID)
+			}
+			for _, n := range d.nodes {
+				d.await("the node knows the part", n.knowsPart)
+			}
+			arrivals := part.ArrivalsAfter(time.Time{})
+			for i, n := range d.nodes {
+				wantStatus(t, d.askPrompt(n, fmt.Sprint("held-", i), stand.PathOnce, part.ID), http.StatusServiceUnavailable)
+			}
+			if got := part.ArrivalsAfter(time.Time{}) - arrivals; got > 0 {
+				t.Errorf("%d requests with the part reached upstreams, want none", got)
+			}
+			c.restore(d.store)
+			for _, n := range d.nodes {
+				d.await("all cases are written", n.hasWrittenCases)
+				n.stop()
+				n.server.close()
+			}
+			late := d.addNode("late")
+			d.await("a new node knows the part", late.knowsPart)
+		})
+	}
+}
+
+// Cases that a restored store lacks must be written again, but not by each node, and those
+// that were refuted must not count again.
+func TestCasesLostInCopy(t *testing.T) {
+	const nodes, lost = 8, 40
+	d, _ := deployWithCrashes(t, nodes)
+	s := d.nodes[0].server
+	refuted := poison.Case{Part: "sound", Process: poison.Process{ID: "refuted"}, Weight: poison.Begun}
+	s.crashes.share([]poison.Case{refuted})
+	d.await("the first case is written", d.nodes[0].hasWrittenCases)
+	restore := d.store.Save()
+	refuted.Weight = poison.Refuted
+	s.crashes.share([]poison.Case{refuted})
+	for i := range lost {
+		s.crashes.share([]poison.Case{{Part: fmt.Sprint("part", i), Process: poison.Process{ID: "u"}, Weight: poison.Begun}})
+	}
+	d.await("all cases are known", func() bool {
+		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) <= lost })
+	})
+	restore()
+	_, before := d.store.Values(topicCrashes)
+	d.await("the cases are written again", func() bool {
+		values, _ := d.store.Values(topicCrashes)
+		var c poison.Case
+		return len(values) > lost && json.Unmarshal(values[refuted.Key()], &c) == nil && c.Weight == poison.Refuted
+	})
+	time.Sleep(2 * time.Second)
+	if _, after := d.store.Values(topicCrashes); after-before > 2*(lost+1) {
+		t.Errorf("%d records are written for %d cases by %d nodes, want two for each case at most", after-before, lost+1, nodes)
+	}
+}
+
+// The longest list of cases must not keep peers from fetching a node's state.
+func TestStateWithManyCases(t *testing.T) {
+	const parts, processes = 1024, 150
+	d := deploy(t, 0)
+	s := d.newServer(d.settings("node"))
+	defer s.close()
+	var cases []poison.Case
+	for i := range parts {
+		for j := range processes {
+			p := poison.Process{ID: fmt.Sprintf("i-%032d", j), Born: int64(1_800_000_000_000 + j)}
+			cases = append(cases, poison.Case{Part: fmt.Sprintf("%064d", i), Process: p})
+		}
+	}
+	cases = append(cases, poison.Case{Part: "bad", Process: poison.Process{ID: "u"}, Weight: poison.Begun})
+	s.step(proxy.CasesRead{Cases: cases})
+	reply, err := peerService{s}.State(t.Context(), &peerpb.StateRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(reply.GetHosts()); got > maxPeerBytes/2 {
+		t.Errorf("state has %d bytes, want %d at most", got, maxPeerBytes/2)
+	}
+	if !strings.Contains(string(reply.GetHosts()), `"bad"`) {
+		t.Error("state lacks the case of the part that is suspected most")
+	}
+}
+
+// A read of cases that a silent store never answers must not keep nodes from learning once
+// the store has answered again for a while.
+func TestCasesUnreadAfterSilentStore(t *testing.T) {
+	const silence, stable = 3 * time.Second, 3 * time.Second
+	d, part := deployWithCrashes(t, 2)
+	d.store.SetStalled(true)
+	time.Sleep(silence)
+	d.store.SetStalled(false)
+	time.Sleep(stable)
+	for i := range crashesToLearn {
+		d.askPrompt(d.nodes[0], fmt.Sprint("crashing-", i), stand.PathOnce, part.ID)
+	}
+	time.Sleep(learnTime)
+	if !d.nodes[1].knowsPart() {
+		t.Errorf("the other node does not know the part %s after its last crash", learnTime)
+	}
+}
+
+// topicCrashes is the topic of the store that has the cases.
+const topicCrashes = "keyed.crashes"
+
+// knowsPart reports whether a node holds requests back for parts of their prompts.
+func (n *testNode) knowsPart() bool {
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	return len(n.server.node.PoisonGroups()) > 0
+}
+
+// hasWrittenCases reports whether no case waits to be written to the store.
+func (n *testNode) hasWrittenCases() bool {
+	n.server.crashes.mu.Lock()
+	defer n.server.crashes.mu.Unlock()
+	return !n.server.crashes.writing
+}
+
 // An upstream that only breaks a connection must not be taken for one that has ended, and
 // one that has ended must be recognized also behind a proxy.
 func TestHasEnded(t *testing.T) {
--- a/relay/store.go
+++ b/relay/store.go
@@ -196,9 +196,10 @@
 		state.lastRead = now
 		if wasFailing && stream == infra.StreamUpstreams {
 			s.directory.StoreRecovered(now)
-			// If the read of the configuration was sent before the store stopped
-			// answering, it may get no answer although newer reads do.
+			// If the long reads were sent before the store stopped answering, they may
+			// get no answer although newer reads do.
 			s.streamState(infra.StreamConfig).cancelRead()
+			s.streamState(infra.StreamCrashes).cancelRead()
 		}
 	}
 	s.mu.Unlock()
@@ -227,7 +228,10 @@
 
 // storeOutage reports whether the upstreams cannot be read from the store. The lock
 // must be held.
-func (s *Server) storeOutage() bool {
-	state := s.streams[infra.StreamUpstreams]
+func (s *Server) storeOutage() bool { return s.cannotRead(infra.StreamUpstreams) }
+
+// cannotRead reports whether a stream cannot be read from the store. The lock must be held.
+func (s *Server) cannotRead(stream infra.Stream) bool {
+	state := s.streams[stream]
 	return state == nil || state.failing && s.now().Sub(state.lastRead) > storeOutageAfter
 }
