Move the log of the versions of streams to a package of its own

What was seen: what records and looks up which software version began a stream needs five things of relay's Server, but had all of it.

Change: package share has the records, the append and the lookup, as they were. Its door is Origins (New, Record, Share, Find) and Host, the interface of what it needs: the time, the epoch of the store, the age of the view of upstreams, and two counts. relay implements Host in origins.go, which also has what concerns an exchange.

Tests: TestSharedOrigins and TestLookups moved along; they use a host of their own, whose counts take the place of those in the metrics. No check changes. That relay's metrics get the counts, which those tests showed on the way, is now shown by relay.TestSharedOriginsCounted. Tests of whole deployments stay in relay.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,7 @@
 	"teaselplank/listen"
 	"teaselplank/member"
 	"teaselplank/proxy"
+	"teaselplank/share"
 	"teaselplank/trace"
 )
 
@@ -114,7 +115,7 @@
 	conns    *conns.Pool
 	bodies   conns.BodyPool
 	releases releaseQueue
-	origins  *origins
+	origins  *share.Origins
 	crashes  *crashLog
 
 	// restored gets a value when the store was restored.
@@ -164,7 +165,7 @@
 	s.conns = conns.NewPool()
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
-	s.origins = newOrigins(s, o.Origins)
+	s.origins = share.New(ctx, originHost{s}, o.Origins, s.logger)
 	s.crashes = &crashLog{server: s}
 	context.AfterFunc(ctx, func() { s.owner.step(batch.Close{}) })
 	return s, nil
@@ -199,9 +200,9 @@
 		case proxy.Release:
 			s.releases.add(e.Results)
 		case proxy.RecordOrigin:
-			s.origins.record(e.Record, e.Share)
+			s.origins.Record(e.Record, e.Share)
 		case proxy.ShareOrigins:
-			s.origins.share(e.Service)
+			s.origins.Share(e.Service)
 		case proxy.CheckUpstream:
 			go s.checkUpstream(e.Upstream)
 		case proxy.ShareCases:
--- a/relay/lookup.go
+++ b/share/lookup.go
@@ -1,4 +1,4 @@
-package relay
+package share
 
 import (
 	"context"
@@ -28,55 +28,46 @@
 	err  error
 }
 
-// findOrigin looks for the version that began the stream that the client resumes.
-func (x *exchange) findOrigin(e proxy.FindOrigin) {
-	ctx := x.context
-	go func() {
-		found := x.server.origins.find(ctx, e)
-		x.post(func() { x.step(found) })
-	}()
-}
-
-// find looks up the record of a stream: first among the streams that this node has sent,
+// Find looks up the record of a stream: first among the streams that this node has sent,
 // then in the records of all nodes.
-func (o *origins) find(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound {
+func (o *Origins) Find(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound {
 	found, ok := o.recordOf(e, &o.own, proxy.OriginOwn)
 	if ok {
-		o.server.metrics.countLookup(string(found.Source))
+		o.host.CountLookup(string(found.Source))
 		return found
 	}
 	if err := o.readNow(ctx); err != nil {
-		o.server.metrics.countLookup(lookupFailed)
-		o.server.logger.Warn("versions of streams are not read", "error", err.Error())
-		found.ViewAge = o.server.upstreamsAge()
+		o.host.CountLookup(lookupFailed)
+		o.logger.Warn("versions of streams are not read", "error", err.Error())
+		found.ViewAge = o.host.UpstreamsAge()
 		return found
 	}
 	found, ok = o.recordOf(e, &o.shared, proxy.OriginShared)
 	found.Complete = true
 	if ok {
-		o.server.metrics.countLookup(string(found.Source))
+		o.host.CountLookup(string(found.Source))
 		return found
 	}
-	o.server.metrics.countLookup(lookupNone)
+	o.host.CountLookup(lookupNone)
 	found.Versions = o.sharedVersions(e.Service)
 	return found
 }
 
 // recordOf returns the record of a stream from a memory, if it is there.
-func (o *origins) recordOf(e proxy.FindOrigin, m *origin.Memory, source proxy.OriginSource) (proxy.OriginFound, bool) {
+func (o *Origins) recordOf(e proxy.FindOrigin, m *origin.Memory, source proxy.OriginSource) (proxy.OriginFound, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r, age, ok := m.Get(o.server.now(), e.ID)
+	r, age, ok := m.Get(o.host.Now(), e.ID)
 	if !ok {
 		return proxy.OriginFound{Number: e.Number}, false
 	}
 	return proxy.OriginFound{Number: e.Number, Source: source, Record: r, Age: age}, true
 }
 
-func (o *origins) sharedVersions(service string) []string {
+func (o *Origins) sharedVersions(service string) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.versions.Recent(o.server.now(), service)
+	return o.versions.Recent(o.host.Now(), service)
 }
 
 var (
@@ -86,7 +77,7 @@
 
 // readNow waits for a read of the log that began after the call: a read that is in
 // progress may miss the newest record of a stream.
-func (o *origins) readNow(ctx context.Context) error {
+func (o *Origins) readNow(ctx context.Context) error {
 	if o.log == nil {
 		return errNoOriginLog
 	}
@@ -112,7 +103,7 @@
 }
 
 // joinRead returns the read in progress, or starts one.
-func (o *origins) joinRead() (read *originRead, started bool) {
+func (o *Origins) joinRead() (read *originRead, started bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.reading != nil {
@@ -121,7 +112,7 @@
 	read = &originRead{done: make(chan struct{})}
 	o.reading = read
 	go func() {
-		ctx, cancel := context.WithTimeout(o.server.context, lookupTimeout)
+		ctx, cancel := context.WithTimeout(o.context, lookupTimeout)
 		defer cancel()
 		read.err = o.readAll(ctx)
 		o.mu.Lock()
@@ -134,8 +125,8 @@
 
 // readAll reads the records from the last position on to the end of the log. After
 // a failure, the next read continues from the last position.
-func (o *origins) readAll(ctx context.Context) error {
-	o.observeEpoch(o.server.storeEpoch())
+func (o *Origins) readAll(ctx context.Context) error {
+	o.observeEpoch(o.host.StoreEpoch())
 	for {
 		from := o.position()
 		page, err := o.log.ReadOrigins(ctx, from)
@@ -151,7 +142,7 @@
 	}
 }
 
-func (o *origins) position() int64 {
+func (o *Origins) position() int64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.next
@@ -159,7 +150,7 @@
 
 // observeEpoch makes the next read begin at the first record if the store was restored
 // from a copy, as it gives offsets out again.
-func (o *origins) observeEpoch(epoch infra.Epoch) (restored bool) {
+func (o *Origins) observeEpoch(epoch infra.Epoch) (restored bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if epoch <= o.epoch {
@@ -171,13 +162,13 @@
 
 // apply applies a page that was read from an offset and reports whether it was the last
 // one. The first page after a restoration counts only if it begins at the first record.
-func (o *origins) apply(from int64, page infra.OriginPage) bool {
+func (o *Origins) apply(from int64, page infra.OriginPage) bool {
 	if o.observeEpoch(page.Epoch) && from > 0 {
 		return false
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.server.now()
+	now := o.host.Now()
 	for _, r := range page.Records {
 		o.versions.Note(now, r)
 		if !r.Settles() {
