Let many hosts together read the cases of prompt parts no more often than some

A read that waits 5 s shows soon that the store does not answer, but costs 0.2 calls a second and host: at 295 hosts 59 a second, beside some 400 of all hosts. The wait now grows with the hosts, from 5 s up to 50 of them to 30 s from 300, so that they make some ten reads a second at most.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -54,9 +54,12 @@
 }
 
 const (
-	// crashWait is how long a read waits for new cases. It is also how long a node may not
-	// notice that the store has no more cases for it, so it is not longer.
-	crashWait = 5 * time.Second
+	// minCrashWait and maxCrashWait bound how long a read waits for new cases. The wait
+	// grows by crashWaitPerNode, so that many nodes together read no more often than some.
+	// A short wait shows sooner that the store does not answer.
+	minCrashWait     = 5 * time.Second
+	maxCrashWait     = 30 * time.Second
+	crashWaitPerNode = 100 * time.Millisecond
 	// maxCasesWait bounds how long a new node is not ready because it knows no cases.
 	maxCasesWait = 2 * time.Second
 	// maxKeepDelay bounds the differences between nodes in how long they keep cases.
@@ -76,11 +79,16 @@
 
 func (s *Server) followCrashes() {
 	s.follow(feed{
-		stream: infra.StreamCrashes, wait: crashWait, pause: func() time.Duration { return 0 },
+		stream: infra.StreamCrashes, wait: s.crashWait, pause: always(0),
 		apply: s.applyCaseRecords,
 	})
 }
 
+// crashWait returns how long a read waits for new cases.
+func (s *Server) crashWait() time.Duration {
+	return min(max(time.Duration(s.nodeCount())*crashWaitPerNode, minCrashWait), maxCrashWait)
+}
+
 // applyCaseRecords applies cases that nodes have written to the store. If the records are
 // all that the store has, the cases that it lacks are written again later.
 func (s *Server) applyCaseRecords(records []infra.KeyedRecord, all bool) {
@@ -134,10 +142,7 @@
 // rewriteCases writes the cases that the store lacks after it was restored from a copy.
 // Nodes do so one after the other, so that most of them find nothing left to write.
 func (s *Server) rewriteCases() {
-	s.mu.Lock()
-	nodes := len(s.group.Peers()) + 1
-	s.mu.Unlock()
-	spread := max(minRewriteSpread, time.Duration(nodes)*rewriteInterval)
+	spread := max(minRewriteSpread, time.Duration(s.nodeCount())*rewriteInterval)
 	if !s.sleep(time.Duration(xxhash.Sum64String(s.self.ID) % uint64(spread))) {
 		return
 	}
--- a/relay/store.go
+++ b/relay/store.go
@@ -37,8 +37,9 @@
 // A feed describes how a stream is read.
 type feed struct {
 	stream infra.Stream
-	// wait is how long a read waits for changes, and pause the time between two reads.
-	wait  time.Duration
+	// wait returns how long a read waits for changes, and pause the time between two
+	// reads.
+	wait  func() time.Duration
 	pause func() time.Duration
 	// apply applies records: all newest ones, or changes in order.
 	apply func(records []infra.KeyedRecord, all bool)
@@ -46,24 +47,33 @@
 
 func (s *Server) followConfig() {
 	s.follow(feed{
-		stream: infra.StreamConfig, wait: configWait, pause: func() time.Duration { return 0 },
+		stream: infra.StreamConfig, wait: always(configWait), pause: always(0),
 		apply: s.applyConfigRecords,
 	})
 }
 
 func (s *Server) followUpstreams() {
 	s.follow(feed{
-		stream: infra.StreamUpstreams, wait: upstreamWait, pause: s.upstreamPause,
+		stream: infra.StreamUpstreams, wait: always(upstreamWait), pause: s.upstreamPause,
 		apply: s.applyUpstreamRecords,
 	})
 }
 
+// always returns a function that returns d.
+func always(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
 // upstreamPause returns the pause between two reads of the upstreams.
 func (s *Server) upstreamPause() time.Duration {
+	return upstreamPauseFor(s.nodeCount())
+}
+
+// nodeCount returns the number of nodes, with this one.
+func (s *Server) nodeCount() int {
 	s.mu.Lock()
-	nodes := len(s.group.Peers()) + 1
-	s.mu.Unlock()
-	return upstreamPauseFor(nodes)
+	defer s.mu.Unlock()
+	return len(s.group.Peers()) + 1
 }
 
 func upstreamPauseFor(nodes int) time.Duration {
@@ -97,7 +107,7 @@
 // otherwise.
 func (s *Server) follow(f feed) {
 	var cursor infra.Cursor
-	backoff, pollWait := minReadBackoff, f.wait
+	backoff, pollWait := minReadBackoff, f.wait()
 	for s.context.Err() == nil {
 		started := s.now()
 		all := cursor.Whole()
@@ -106,9 +116,9 @@
 		if err == nil {
 			s.observeEpoch(page.Epoch)
 		}
-		pollWait = f.wait
+		pollWait = f.wait()
 		if err != nil {
-			pollWait = min(f.wait, probeWait)
+			pollWait = min(pollWait, probeWait)
 		}
 		switch {
 		case errors.Is(err, infra.ErrOffsetOutOfRange):
