Bound the cases in the state that peers fetch

With as many cases as a host remembers, its state had 21 MB, more than the 8 MB that a peer reads: the peer then got neither cases nor upstreams while the store was away.

12,288 cases are sent at most, those of the parts with the largest weight first.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -333,11 +333,16 @@
 	return list
 }
 
-// Cases returns all cases, also the refuted ones.
+// Cases returns all cases, also the refuted ones, those of the parts with the largest weight
+// first.
 func (d *Detector) Cases() []Case {
+	parts := slices.SortedFunc(maps.Keys(d.suspects), func(a, b string) int {
+		s, o := d.suspects[a], d.suspects[b]
+		return cmp.Or(cmp.Compare(o.weight, s.weight), o.lastSeen.Compare(s.lastSeen), cmp.Compare(a, b))
+	})
 	var list []Case
-	for part, s := range d.suspects {
-		list = append(list, s.list(part)...)
+	for _, part := range parts {
+		list = append(list, d.suspects[part].list(part)...)
 	}
 	return list
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -6,13 +6,16 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"teaselplank/fleet"
+	"teaselplank/peerpb"
 	"teaselplank/platform/stand"
 	"teaselplank/poison"
+	"teaselplank/proxy"
 )
 
 const (
@@ -212,6 +215,33 @@
 	}
 }
 
+// The longest list of cases must not keep peers from fetching a node's state.
+func TestStateWithManyCases(t *testing.T) {
+	const parts, processes = 1024, 150
+	d := deploy(t, 0)
+	s := d.newServer(d.settings("node"))
+	defer s.close()
+	var cases []poison.Case
+	for i := range parts {
+		for j := range processes {
+			p := poison.Process{ID: fmt.Sprintf("i-%032d", j), Born: int64(1_800_000_000_000 + j)}
+			cases = append(cases, poison.Case{Part: fmt.Sprintf("%064d", i), Process: p})
+		}
+	}
+	cases = append(cases, poison.Case{Part: "bad", Process: poison.Process{ID: "u"}, Weight: poison.Begun})
+	s.step(proxy.CasesRead{Cases: cases})
+	reply, err := peerService{s}.State(t.Context(), &peerpb.StateRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(reply.GetHosts()); got > maxPeerBytes/2 {
+		t.Errorf("state has %d bytes, want %d at most", got, maxPeerBytes/2)
+	}
+	if !strings.Contains(string(reply.GetHosts()), `"bad"`) {
+		t.Error("state lacks the case of the part that is suspected most")
+	}
+}
+
 // A read of cases that a silent store never answers must not keep nodes from learning once
 // the store has answered again for a while.
 func TestCasesUnreadAfterSilentStore(t *testing.T) {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -68,6 +68,10 @@
 // deployment are the longest.
 const maxPeerBytes = 8 << 20
 
+// maxPeerCases bounds the cases that are sent to another node, with at most 300 bytes each,
+// to leave room for the upstreams.
+const maxPeerCases = 12 << 10
+
 // A boundedTransport bounds the bodies of responses, which the generated clients read
 // whole.
 type boundedTransport struct{ http.RoundTripper }
@@ -214,6 +218,7 @@
 	}
 	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed(), Cases: s.node.PoisonCases()}
 	s.mu.Unlock()
+	state.Cases = state.Cases[:min(len(state.Cases), maxPeerCases)]
 	hosts, err := json.Marshal(state)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(fmt.Errorf("encode upstreams: %w", err))
