Give peers no case before the upstream was checked

A host that fetched a peer's state while the store was away, or a host that wrote lost cases again, took cases at an upstream that was still being checked for those of a process that had ended. If the check then found it alive, only the first host withdrew them. Found by reading; a subtest of TestPoisonousParts failed.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -178,8 +178,14 @@
 	return true
 }
 
-// PoisonCases returns the cases that this node knows of prompt parts that crash upstreams.
-func (n *Node) PoisonCases() []poison.Case { return n.poison.Cases() }
+// PoisonCases returns the cases that this node knows of prompt parts that crash upstreams,
+// but for those at upstreams that are still being checked.
+func (n *Node) PoisonCases() []poison.Case {
+	return slices.DeleteFunc(n.poison.Cases(), func(c poison.Case) bool {
+		check, checking := n.crashChecks[c.Process]
+		return checking && !check.ended
+	})
+}
 
 // PoisonGroups returns the sets of prompt parts that requests are held back for.
 func (n *Node) PoisonGroups() [][]string { return n.poison.Groups() }
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -78,6 +78,19 @@
 			t.Errorf("shared cases are %+v, want those of both parts", got)
 		}
 	})
+	t.Run("other nodes get no case before the process was checked", func(t *testing.T) {
+		h := newHarness(t)
+		h.prompt("bad")
+		u := find[Send](h).Upstream
+		h.breakAttempt(1, true)
+		if got := h.node.PoisonCases(); len(got) != 0 {
+			t.Errorf("cases are %+v, want none", got)
+		}
+		h.step(UpstreamChecked{ID: u.ID, Born: u.Born, Ended: true})
+		if got := h.node.PoisonCases(); len(got) != 1 {
+			t.Errorf("cases are %+v, want one", got)
+		}
+	})
 	t.Run("a process that goes on is no case", func(t *testing.T) {
 		h := newHarness(t)
 		for range 4 {
