Let one host write cases again that another has forgotten

Where a part comes rarely, some hosts do not see it for 10 minutes and remove its cases from the store.

A host now waits for its turn, as after a restoration, and asks whether the cases were written again before it forgets them or writes them.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -61,8 +63,8 @@
 	maxCasesWait = 2 * time.Second
 	// maxKeepDelay bounds the differences between nodes in how long they keep cases.
 	maxKeepDelay = 2 * time.Minute
-	// rewriteInterval is the time that each node has to write the cases that a restored
-	// store lacks, and minRewriteSpread the shortest time for all nodes.
+	// rewriteInterval is the time that each node has to write the cases that the store has
+	// lost, and minRewriteSpread the shortest time for all nodes.
 	rewriteInterval  = 20 * time.Millisecond
 	minRewriteSpread = time.Second
 	// maxPendingCases bounds the cases that wait to be written to the store.
@@ -90,7 +92,9 @@
 	s.casesKnown = true
 	s.mu.Unlock()
 	s.step(proxy.CasesRead{Cases: read})
-	s.step(proxy.CasesForgotten{Cases: forgotten})
+	if len(forgotten) > 0 {
+		go s.forgetCases(forgotten)
+	}
 	if all && len(lacking(known, read)) > 0 {
 		go s.rewriteCases()
 	}
@@ -132,23 +136,46 @@
 }
 
 // rewriteCases writes the cases that the store lacks after it was restored from a copy.
-// Nodes do so one after the other, so that most of them find nothing left to write.
 func (s *Server) rewriteCases() {
+	if read, ok := s.readInTurn(); ok {
+		s.crashes.share(lacking(s.knownCases(), read))
+	}
+}
+
+// forgetCases lets the node forget cases that another one has removed from the store, or
+// write them again, unless they were written again meanwhile.
+func (s *Server) forgetCases(forgotten []poison.Case) {
+	read, ok := s.readInTurn()
+	if !ok {
+		return
+	}
+	missing := make(map[string]poison.Case, len(forgotten))
+	for _, c := range forgotten {
+		missing[c.Key()] = c
+	}
+	for _, c := range read {
+		delete(missing, c.Key())
+	}
+	s.step(proxy.CasesForgotten{Cases: slices.Collect(maps.Values(missing))})
+}
+
+// readInTurn waits for a time that differs between nodes and then reads all cases of the
+// store. Most nodes thus find that others have written what they would have to write.
+func (s *Server) readInTurn() (read []poison.Case, ok bool) {
 	s.mu.Lock()
 	nodes := len(s.group.Peers()) + 1
 	s.mu.Unlock()
 	spread := max(minRewriteSpread, time.Duration(nodes)*rewriteInterval)
 	if !s.sleep(time.Duration(xxhash.Sum64String(s.self.ID) % uint64(spread))) {
-		return
+		return nil, false
 	}
 	page, err := s.readNewest(infra.StreamCrashes)
 	if err != nil {
 		s.logger.Warn("cannot read the cases of prompt parts", "error", err.Error())
-		return
+		return nil, false
 	}
-	known := s.knownCases()
-	read, _ := s.parseCases(page.Records, known)
-	s.crashes.share(lacking(known, read))
+	read, _ = s.parseCases(page.Records, nil)
+	return read, true
 }
 
 // knownCases returns the cases that the node knows, by their keys in the store.
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -215,6 +215,40 @@
 	}
 }
 
+// Cases that one node has forgotten and all others still need must be written again, but not
+// by each of them.
+func TestCasesForgottenByOneNode(t *testing.T) {
+	const nodes, count = 8, 10
+	d, _ := deployWithCrashes(t, nodes)
+	var cases []poison.Case
+	for i := range count {
+		cases = append(cases, poison.Case{Part: "bad", Process: poison.Process{ID: fmt.Sprint("u", i)}, Weight: poison.Begun})
+	}
+	d.nodes[0].server.crashes.share(cases)
+	d.await("all cases are known", func() bool {
+		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) < count })
+	})
+	_, before := d.store.Values(topicCrashes)
+	d.nodes[0].server.crashes.forget(cases)
+	d.await("the cases are removed", func() bool {
+		_, appended := d.store.Values(topicCrashes)
+		return appended >= before+count
+	})
+	d.await("the cases are written again", func() bool {
+		values, _ := d.store.Values(topicCrashes)
+		return len(values) == count
+	})
+	time.Sleep(2 * time.Second)
+	if _, after := d.store.Values(topicCrashes); after-before > 3*count {
+		t.Errorf("%d records are written when %d cases are removed, want three for each case at most", after-before, count)
+	}
+	for _, n := range d.nodes {
+		if !n.knowsPart() {
+			t.Error("a node does not know the part any more")
+		}
+	}
+}
+
 // The longest list of cases must not keep peers from fetching a node's state.
 func TestStateWithManyCases(t *testing.T) {
 	const parts, processes = 1024, 150
