--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -82,6 +82,16 @@
 		wantMatch(t, &d, true, "bad")
 		wantMatch(t, &d, false, "first")
 	})
+	t.Run("a part that was waiting at many processes explains none either", func(t *testing.T) {
+		var d Detector
+		for i := range 6 {
+			crash(&d, i, Waiting, "first")
+		}
+		for i := range 3 {
+			crash(&d, i, Begun, "bad")
+		}
+		wantMatch(t, &d, true, "bad")
+	})
 	t.Run("a part that was waiting at the same processes", func(t *testing.T) {
 		var d Detector
 		for i := range 3 {
