Log held-back requests at the debug level

The reply after the line names the reason at the info level; both at info are some 800 kB/s for 1,000 such requests a second (estimated in the review), more than the logger writes, so that other lines would be dropped.

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -66,7 +66,7 @@
 // level, whose lines are dropped first when the log is overloaded.
 func (d Decision) Level() slog.Level {
 	switch d {
-	case Admitted, Sent, StageDone, AnswerBegan, Answered, StageAdmitted:
+	case Admitted, Sent, HeldBack, StageDone, AnswerBegan, Answered, StageAdmitted:
 		return slog.LevelDebug
 	}
 	return slog.LevelInfo
