--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -152,7 +152,7 @@
 			func(s *stand.Store) { s.SetStalled(true) }, func(s *stand.Store) { s.SetStalled(false) },
 		},
 		"cases are down": {
-			func(s *stand.Store) { s.SetTopicUnavailable(topicCrashes) }, func(s *stand.Store) { s.SetTopicUnavailable("") },
+			func(s *stand.Store) { s.SetTopicUnavailable(stand.TopicCrashes) }, func(s *stand.Store) { s.SetTopicUnavailable("") },
 		},
 	}
 	for name, c := range cases {
@@ -203,14 +203,14 @@
 		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) <= lost })
 	})
 	restore()
-	_, before := d.store.Values(topicCrashes)
+	_, before := d.store.Values(stand.TopicCrashes)
 	d.await("the cases are written again", func() bool {
-		values, _ := d.store.Values(topicCrashes)
+		values, _ := d.store.Values(stand.TopicCrashes)
 		var c poison.Case
 		return len(values) > lost && json.Unmarshal(values[refuted.Key()], &c) == nil && c.Weight == poison.Refuted
 	})
 	time.Sleep(2 * time.Second)
-	if _, after := d.store.Values(topicCrashes); after-before > 2*(lost+1) {
+	if _, after := d.store.Values(stand.TopicCrashes); after-before > 2*(lost+1) {
 		t.Errorf("%d records are written for %d cases by %d nodes, want two for each case at most", after-before, lost+1, nodes)
 	}
 }
@@ -228,18 +228,18 @@
 	d.await("all cases are known", func() bool {
 		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) < count })
 	})
-	_, before := d.store.Values(topicCrashes)
+	_, before := d.store.Values(stand.TopicCrashes)
 	d.nodes[0].server.crashes.forget(cases)
 	d.await("the cases are removed", func() bool {
-		_, appended := d.store.Values(topicCrashes)
+		_, appended := d.store.Values(stand.TopicCrashes)
 		return appended >= before+count
 	})
 	d.await("the cases are written again", func() bool {
-		values, _ := d.store.Values(topicCrashes)
+		values, _ := d.store.Values(stand.TopicCrashes)
 		return len(values) == count
 	})
 	time.Sleep(2 * time.Second)
-	if _, after := d.store.Values(topicCrashes); after-before > 3*count {
+	if _, after := d.store.Values(stand.TopicCrashes); after-before > 3*count {
 		t.Errorf("%d records are written when %d cases are removed, want three for each case at most", after-before, count)
 	}
 	for _, n := range d.nodes {
@@ -294,9 +294,6 @@
 	}
 }
 
-// topicCrashes is the topic of the store that has the cases.
-const topicCrashes = "keyed.crashes"
-
 // knowsPart reports whether a node holds requests back for parts of their prompts.
 func (n *testNode) knowsPart() bool {
 	n.server.mu.Lock()
