--- a/relay/crash.go
+++ b/relay/crash.go
@@ -62,6 +62,9 @@
 	minCrashWait     = 5 * time.Second
 	maxCrashWait     = 30 * time.Second
 	crashWaitPerNode = 100 * time.Millisecond
+	// crashPause is the time between two reads. The cases of a crash come within moments,
+	// and each read of them costs a call a node.
+	crashPause = 250 * time.Millisecond
 	// maxCasesWait bounds how long a new node is not ready because it knows no cases.
 	maxCasesWait = 2 * time.Second
 	// maxKeepDelay bounds the differences between nodes in how long they keep cases.
@@ -81,7 +84,7 @@
 
 func (s *Server) followCrashes() {
 	s.follow(feed{
-		stream: infra.StreamCrashes, wait: s.crashWait, pause: always(0),
+		stream: infra.StreamCrashes, wait: s.crashWait, pause: always(crashPause),
 		apply: s.applyCaseRecords,
 	})
 }
