Write the cases of prompt parts together

Each case was an append of its own, though the store takes many records in one, and the log of the versions of streams, which has the same queue, appends in batches already. A host that wrote 41 lost cases after a restoration thus made 41 calls, and on a busy machine its turn lasted into those of the next hosts, which wrote the same again.

Registry.Put takes several records, and a write has up to 256 cases. What is written, in which order and what is given up when the queue is full stay as they were.

--- a/infra/registry.go
+++ b/infra/registry.go
@@ -60,7 +60,7 @@
 	// waits at most the duration wait. It returns ErrOffsetOutOfRange if the stream
 	// does not have the offset.
 	Changes(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
-	// Put adds a record and returns the epoch in which it was added. If it returns an
-	// error, the record may still have been added.
-	Put(ctx context.Context, s Stream, record KeyedRecord) (Epoch, error)
+	// Put adds records, all or none, and returns the epoch in which they were added. If it
+	// returns an error, they may still have been added.
+	Put(ctx context.Context, s Stream, records ...KeyedRecord) (Epoch, error)
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -75,6 +75,8 @@
 	minRewriteSpread = time.Second
 	// maxPendingCases bounds the cases that wait to be written to the store.
 	maxPendingCases = 1024
+	// maxCasesPerWrite bounds the cases of one write.
+	maxCasesPerWrite = 256
 )
 
 // keepDelay returns how much longer than others a node keeps cases.
@@ -210,34 +212,38 @@
 
 // share lets the other nodes know cases.
 func (l *crashLog) share(cases []poison.Case) {
+	var records []infra.KeyedRecord
 	for _, c := range cases {
 		value, err := json.Marshal(c)
 		if err != nil {
 			l.server.logger.Error("cannot encode a case", "part", c.Part, "error", err.Error())
 			continue
 		}
-		l.enqueue(infra.KeyedRecord{Key: c.Key(), Value: value})
+		records = append(records, infra.KeyedRecord{Key: c.Key(), Value: value})
 	}
+	l.enqueue(records)
 }
 
 // forget lets all nodes forget cases.
 func (l *crashLog) forget(cases []poison.Case) {
+	var records []infra.KeyedRecord
 	for _, c := range cases {
-		l.enqueue(infra.KeyedRecord{Key: c.Key()})
+		records = append(records, infra.KeyedRecord{Key: c.Key()})
 	}
+	l.enqueue(records)
 }
 
-// enqueue adds a record to be written. If there are too many, it is dropped: the store is
+// enqueue adds records to be written. Those that are too many are dropped: the store is
 // away, and the nodes exchange cases among themselves.
-func (l *crashLog) enqueue(r infra.KeyedRecord) {
+func (l *crashLog) enqueue(records []infra.KeyedRecord) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.pending) >= maxPendingCases {
-		l.server.metrics.countCases("dropped")
-		return
+	if room := maxPendingCases - len(l.pending); len(records) > room {
+		l.server.metrics.countCases("dropped", len(records)-room)
+		records = records[:room]
 	}
-	l.pending = append(l.pending, r)
-	if !l.writing {
+	l.pending = append(l.pending, records...)
+	if !l.writing && len(l.pending) > 0 {
 		l.writing = true
 		go l.write()
 	}
@@ -246,10 +252,10 @@
 // write writes the pending records until none is left.
 func (l *crashLog) write() {
 	backoff := minReadBackoff
-	for r, ok := l.next(); ok; {
-		if l.put(r) {
+	for batch := l.nextBatch(); len(batch) > 0; {
+		if l.put(batch) {
 			backoff = minReadBackoff
-			r, ok = l.next()
+			batch = l.nextBatch()
 			continue
 		}
 		if !l.server.sleep(backoff) {
@@ -259,28 +265,27 @@
 	}
 }
 
-// next takes the oldest pending record. If there is none, the goroutine that writes ends.
-func (l *crashLog) next() (infra.KeyedRecord, bool) {
+// nextBatch takes the oldest pending records. If there is none, the goroutine that writes
+// ends.
+func (l *crashLog) nextBatch() []infra.KeyedRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.pending) == 0 {
-		l.writing = false
-		return infra.KeyedRecord{}, false
-	}
-	r := l.pending[0]
-	l.pending = l.pending[1:]
-	return r, true
+	count := min(len(l.pending), maxCasesPerWrite)
+	batch := slices.Clone(l.pending[:count])
+	l.pending = l.pending[count:]
+	l.writing = count > 0
+	return batch
 }
 
-// put writes a record and reports whether that succeeded.
-func (l *crashLog) put(r infra.KeyedRecord) bool {
+// put writes records and reports whether that succeeded.
+func (l *crashLog) put(records []infra.KeyedRecord) bool {
 	ctx, cancel := context.WithTimeout(l.server.context, storeTimeout)
 	defer cancel()
-	if _, err := l.server.registry.Put(ctx, infra.StreamCrashes, r); err != nil {
-		l.server.metrics.countCases("failed")
-		l.server.logger.Warn("cannot write a case of a prompt part", "key", r.Key, "error", err.Error())
+	if _, err := l.server.registry.Put(ctx, infra.StreamCrashes, records...); err != nil {
+		l.server.metrics.countCases("failed", len(records))
+		l.server.logger.Warn("cannot write cases of prompt parts", "cases", len(records), "error", err.Error())
 		return false
 	}
-	l.server.metrics.countCases("ok")
+	l.server.metrics.countCases("ok", len(records))
 	return true
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -118,7 +118,9 @@
 
 // countCases counts cases of prompt parts that were written to the store, failed to be, or
 // were given up.
-func (m *metrics) countCases(result string) { m.casesWritten.WithLabelValues(result).Inc() }
+func (m *metrics) countCases(result string, cases int) {
+	m.casesWritten.WithLabelValues(result).Add(float64(cases))
+}
 
 func (m *metrics) countLookup(result string) { m.originLookups.WithLabelValues(result).Inc() }
 
