Share the readers of endless texts between the tests of conns and relay

The move of the connections into a package of their own left the two readers twice, word for word. They stand in platform/stand now, beside the endless faults.

--- a/conns/body_test.go
+++ b/conns/body_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"teaselplank/platform/stand"
 )
 
 func TestBodies(t *testing.T) {
@@ -23,7 +25,7 @@
 		{"one chunk", strings.NewReader(of(bodyChunkSize)), bodyChunkSize, nil},
 		{"as long as allowed", strings.NewReader(of(maxAnswerBytes)), maxAnswerBytes, nil},
 		{"a byte too long", strings.NewReader(of(maxAnswerBytes + 1)), 0, ErrTooLong},
-		{"without end", newEndlessReader("x"), 0, ErrTooLong},
+		{"without end", stand.NewEndlessReader("x"), 0, ErrTooLong},
 		{"truncated", io.MultiReader(strings.NewReader(of(bodyChunkSize+1)), iotest.ErrReader(io.ErrUnexpectedEOF)), 0, io.ErrUnexpectedEOF},
 		{"reset", io.MultiReader(strings.NewReader("x"), iotest.ErrReader(errReset)), 0, errReset},
 	} {
--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"teaselplank/platform/stand"
 )
 
 const (
@@ -19,37 +21,6 @@
 	promptly = time.Second
 )
 
-// A countingReader counts the bytes that were read from it.
-type countingReader struct {
-	io.Reader
-	count *atomic.Int64
-}
-
-func (c countingReader) Read(b []byte) (int, error) {
-	n, err := c.Reader.Read(b)
-	c.count.Add(int64(n))
-	return n, err
-}
-
-// An endlessReader repeats a text without end.
-type endlessReader struct {
-	text string
-	rest string
-}
-
-func newEndlessReader(text string) *endlessReader {
-	return &endlessReader{text: strings.Repeat(text, readBufferSize)}
-}
-
-func (e *endlessReader) Read(b []byte) (int, error) {
-	if e.rest == "" {
-		e.rest = e.text
-	}
-	n := copy(b, e.rest)
-	e.rest = e.rest[n:]
-	return n, nil
-}
-
 // A head or interim responses without end must not cost more memory than any other answer.
 func TestEndlessHead(t *testing.T) {
 	for name, text := range map[string]string{
@@ -66,8 +37,8 @@
 			go func() { _, _ = io.Copy(io.Discard, theirs) }()
 			go func() {
 				defer theirs.Close()
-				limited := io.LimitReader(newEndlessReader(text), 16*maxResponseMemory)
-				_, _ = io.Copy(theirs, countingReader{io.MultiReader(strings.NewReader(begin), limited), &read})
+				limited := io.LimitReader(stand.NewEndlessReader(text), 16*maxResponseMemory)
+				_, _ = io.Copy(theirs, stand.CountingReader{Reader: io.MultiReader(strings.NewReader(begin), limited), Count: &read})
 			}()
 			r := httptest.NewRequest(http.MethodGet, "/", nil)
 			if _, err := newConn(ours, NewPool(), endpoint{}).RoundTrip(r, 0, 0); err == nil {
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -29,41 +29,8 @@
 	// promptly is the time within which a request that meets endless bytes has its final
 	// answer. It is shorter than the time after which an attempt gives up on a head.
 	promptly = time.Second
-	// textRepeats is how often an endlessReader has its text in memory.
-	textRepeats = 4 << 10
 )
 
-// A countingReader counts the bytes that were read from it.
-type countingReader struct {
-	io.Reader
-	count *atomic.Int64
-}
-
-func (c countingReader) Read(b []byte) (int, error) {
-	n, err := c.Reader.Read(b)
-	c.count.Add(int64(n))
-	return n, err
-}
-
-// An endlessReader repeats a text without end.
-type endlessReader struct {
-	text string
-	rest string
-}
-
-func newEndlessReader(text string) *endlessReader {
-	return &endlessReader{text: strings.Repeat(text, textRepeats)}
-}
-
-func (e *endlessReader) Read(b []byte) (int, error) {
-	if e.rest == "" {
-		e.rest = e.text
-	}
-	n := copy(b, e.rest)
-	e.rest = e.rest[n:]
-	return n, nil
-}
-
 // askPromptly sends a request that must have its answer promptly, after which no worker
 // may still send an endless response.
 func (d *deployment) askPromptly(t *testing.T, path string) result {
@@ -165,7 +132,7 @@
 
 // A connection on which a body was only partly read must not be used again.
 func TestPartlyReadRefusal(t *testing.T) {
-	body := io.NopCloser(io.LimitReader(newEndlessReader("x"), maxDiscardBytes+1))
+	body := io.NopCloser(io.LimitReader(stand.NewEndlessReader("x"), maxDiscardBytes+1))
 	pool := conns.NewPool()
 	u := idleUpstream(t)
 	attempt := &attempt{response: &http.Response{Body: body}, conn: connectTo(t, pool, u), stopClosing: func() bool { return true }}
@@ -211,7 +178,7 @@
 		c := connectTo(t, s.conns, u)
 		exchanges.Go(func() {
 			var read atomic.Int64
-			body := io.MultiReader(io.LimitReader(newEndlessReader("x"), bodySize), stalledReader{stalled})
+			body := io.MultiReader(io.LimitReader(stand.NewEndlessReader("x"), bodySize), stalledReader{stalled})
 			counted := io.TeeReader(body, addingWriter{&held, &read})
 			a := &attempt{
 				exchange: &exchange{server: s, ended: ended}, send: proxy.Send{Route: &fleet.Route{Kind: fleet.Safe}},
@@ -300,7 +267,7 @@
 	for name, text := range map[string]string{"one line": "x", "lines": "data: x\n"} {
 		t.Run(name, func(t *testing.T) {
 			var read atomic.Int64
-			e := events.NewReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
+			e := events.NewReader(stand.CountingReader{Reader: io.LimitReader(stand.NewEndlessReader(text), 16*maxResponseMemory), Count: &read}, "")
 			if data, _, err := e.Next(); err == nil {
 				t.Errorf("%d bytes of an endless event are passed on", len(data))
 			}
@@ -318,7 +285,7 @@
 	for name, text := range map[string]string{"comments": ": wait\n\n", "blank lines": "\n", "no events": "garbage\n\n"} {
 		t.Run(name, func(t *testing.T) {
 			var read atomic.Int64
-			e := events.NewReader(countingReader{io.LimitReader(newEndlessReader(text), 16*maxResponseMemory), &read}, "")
+			e := events.NewReader(stand.CountingReader{Reader: io.LimitReader(stand.NewEndlessReader(text), 16*maxResponseMemory), Count: &read}, "")
 			if data, _, err := e.Next(); err == nil {
 				t.Errorf("%d bytes without an event are passed on", len(data))
 			}
@@ -420,7 +387,7 @@
 func TestEndlessPeerRequest(t *testing.T) {
 	d := deploy(t, 1)
 	var sent atomic.Int64
-	body := countingReader{io.LimitReader(newEndlessReader("x"), hostMemory/2), &sent}
+	body := stand.CountingReader{Reader: io.LimitReader(stand.NewEndlessReader("x"), hostMemory/2), Count: &sent}
 	url := "http://" + d.nodes[0].server.settings.Peers + peerpb.PeerPathPrefix + "State"
 	if r, err := http.Post(url, "application/protobuf", body); err == nil {
 		r.Body.Close()
