Drop the times that nothing reads

recordPoison and upstreamChecked took the time and did not use it. drain converted two times of the wall clock for the reducer; the server's own clock serves both, as it never jumps. Behaviour stays: the tests of proxy, and those of stops in relay, pass under the race detector.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -62,7 +62,7 @@
 
 // upstreamChecked shares the cases of an upstream that has ended, and withdraws them if
 // it has not, also as far as other nodes know.
-func (n *Node) upstreamChecked(now time.Time, e UpstreamChecked) {
+func (n *Node) upstreamChecked(e UpstreamChecked) {
 	process := poison.Process{ID: e.ID, Born: e.Born}
 	check, ok := n.crashChecks[process]
 	if !ok {
@@ -74,7 +74,7 @@
 		return
 	}
 	n.shareCases(check.cases)
-	n.recordPoison(now)
+	n.recordPoison()
 }
 
 // casesRead adds what other nodes have shared.
@@ -90,7 +90,7 @@
 		}
 		n.shareCases(n.poison.Add(now, c))
 	}
-	n.recordPoison(now)
+	n.recordPoison()
 }
 
 // casesForgotten removes cases that another node has forgotten, and shares those again
@@ -101,14 +101,14 @@
 			n.shareCases([]poison.Case{c})
 		}
 	}
-	n.recordPoison(now)
+	n.recordPoison()
 }
 
 // expireCases forgets parts that were not seen for a long time.
 func (n *Node) expireCases(now time.Time) {
 	if expired := n.poison.Expire(now, poison.KeepTime+n.config.KeepDelay); len(expired) > 0 {
 		n.emit(ForgetCases{Cases: expired})
-		n.recordPoison(now)
+		n.recordPoison()
 	}
 }
 
@@ -118,7 +118,7 @@
 		return
 	}
 	n.shareCases(n.poison.Completed(now, r.PromptParts))
-	n.recordPoison(now)
+	n.recordPoison()
 }
 
 // soundAfter is how long after its first event a response shows that the parts of its prompt
@@ -140,7 +140,7 @@
 	for _, r := range sound {
 		n.shareCases(n.poison.Completed(now, r.PromptParts))
 	}
-	n.recordPoison(now)
+	n.recordPoison()
 }
 
 func (n *Node) shareCases(cases []poison.Case) {
@@ -150,7 +150,7 @@
 }
 
 // recordPoison records which parts requests are now held back for, if that has changed.
-func (n *Node) recordPoison(now time.Time) {
+func (n *Node) recordPoison() {
 	groups := n.poison.Groups()
 	if slices.EqualFunc(groups, n.poisonGroups, slices.Equal) {
 		return
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -129,7 +129,7 @@
 	case UpstreamHeld:
 		n.pauseUpstream(e)
 	case UpstreamChecked:
-		n.upstreamChecked(now, e)
+		n.upstreamChecked(e)
 	case CasesRead:
 		n.casesRead(now, e.Cases)
 	case CasesForgotten:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -295,13 +295,13 @@
 // for the requests of the last ones. Requests in progress near the end of the grace period
 // get a final answer.
 func (s *Server) drain(clients *listen.Listener) {
-	begin := time.Now()
+	begin := s.now()
 	answerBy := begin.Add(s.settings.Grace - answerMargin)
 	exitBy := begin.Add(s.settings.Grace - exitMargin)
 	s.logger.Info("node is draining", "node", s.self.ID, "requests", s.requestCount())
 	s.draining.Store(true)
 	unlisted := begin.Add(min(notReadyDelay, s.settings.Grace/3))
-	s.step(proxy.Stop{Unlisted: s.now().Add(time.Until(unlisted)), Until: s.now().Add(time.Until(answerBy))})
+	s.step(proxy.Stop{Unlisted: unlisted, Until: answerBy})
 	s.memberStep(member.Stop{})
 	go s.deregister()
 	if s.stageOwner(s.self.Zone).ID != s.self.ID {
