--- /dev/null
+++ b/relay/limit_test.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+const (
+	// limitWindow is the time in which an upstream may get maxLimitFactor times what its limit
+	// allows and maxLimitExcess requests more.
+	limitWindow    = 4 * time.Second
+	maxLimitFactor = 1.5
+	maxLimitExcess = 5
+	// limitLearnTime is the time within which all nodes have to know a limit.
+	limitLearnTime = time.Second
+)
+
+// wantLimitKept checks that a worker got no more than a limit allows between two times.
+func wantLimitKept(t *testing.T, w *stand.Worker, limit float64, from, to time.Time) {
+	t.Helper()
+	allowed := int(maxLimitFactor*limit*limitWindow.Seconds() + maxLimitExcess)
+	got := w.MostArrivals(from, to, limitWindow)
+	t.Logf("%s with a limit of %v a second: %d requests in the worst %s, %d in %s", w.ID, limit, got, limitWindow,
+		w.ArrivalsBetween(from, to), to.Sub(from).Round(time.Millisecond))
+	if got > allowed {
+		t.Errorf("%s, whose limit is %v a second, got %d requests in %s, want %d at most", w.ID, limit, got, limitWindow, allowed)
+	}
+}
+
+// wantNotStarved checks that a worker got a good part of what its limit allows.
+func wantNotStarved(t *testing.T, w *stand.Worker, limit float64, from, to time.Time) {
+	t.Helper()
+	want := int(limit * to.Sub(from).Seconds() / 3)
+	if got := w.ArrivalsBetween(from, to); got < want {
+		t.Errorf("%s, whose limit is %v a second, got %d requests in %s, want %d at least", w.ID, limit, got, to.Sub(from), want)
+	}
+}
+
+// A pace sends requests at all nodes in turn, at even intervals.
+type pace struct {
+	d        *deployment
+	paths    []string
+	interval time.Duration
+}
+
+// run sends requests for a time and returns the answers.
+func (p pace) run(name string, length time.Duration) []result {
+	var group sync.WaitGroup
+	results := make([]result, int(length/p.interval))
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	for i := range results {
+		n, path := p.d.nodes[i%len(p.d.nodes)], p.paths[i%len(p.paths)]
+		id := fmt.Sprint(name, "-", i)
+		group.Go(func() {
+			results[i] = p.d.askAs(n, id, path, func(r *http.Request) { stand.SetPrompt(r, fmt.Sprint("shared-", i%16), "own-"+id) })
+		})
+		<-ticker.C
+	}
+	group.Wait()
+	return results
+}
+
+// wantServed checks that nearly all requests are served.
+func wantServed(t *testing.T, results []result) {
+	t.Helper()
+	failed := 0
+	for _, r := range results {
+		if r.err != nil || r.status != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > len(results)/50 {
+		t.Errorf("%d of %d requests are not served, want one in fifty at most", failed, len(results))
+	}
+}
+
+// An upstream that names a limit must get no more than that from all nodes together, and the
+// requests that it would have got must be served by others. Once it names none, it must be
+// used as before.
+func TestUpstreamGetsMoreThanItsLimit(t *testing.T) {
+	const (
+		length   = 10 * time.Second
+		interval = 12500 * time.Microsecond
+	)
+	for _, c := range []struct {
+		service, path string
+		// isPreferred is true if the workers with a limit get their share of all requests
+		// when they have none.
+		isPreferred bool
+	}{
+		{stand.ServiceDesk, stand.PathSafe, false},
+		{stand.ServiceEngine, stand.PathOnce, true},
+	} {
+		for _, nodes := range []int{3, 8} {
+			t.Run(fmt.Sprint(c.service, " at ", nodes, " nodes"), func(t *testing.T) {
+				t.Parallel()
+				d := deploy(t, nodes, func(w *stand.Worker) {
+					if w.Kind == stand.Plain {
+						w.Delay = 20 * time.Millisecond
+					}
+				})
+				d.addWorkers(c.service)
+				p := pace{d, []string{c.path}, interval}
+				p.run("before", time.Second)
+				limits := map[*stand.Worker]float64{d.workers[c.service+"-a"]: 1.3, d.workers[c.service+"-a0"]: 4}
+				for w, limit := range limits {
+					w.SetLimit(strconv.FormatFloat(limit, 'f', -1, 64))
+				}
+				named := time.Now()
+				wantServed(t, p.run("limited", length))
+				for w, limit := range limits {
+					wantLimitKept(t, w, limit, named.Add(limitLearnTime), time.Now())
+					wantNotStarved(t, w, limit, named.Add(limitLearnTime), time.Now())
+					w.SetLimit("")
+				}
+				wantServed(t, p.run("after", 3*time.Second))
+				freed := time.Now()
+				wantServed(t, p.run("free", 2*time.Second))
+				for w, limit := range limits {
+					want := int(2 * limit * time.Since(freed).Seconds())
+					if got := w.ArrivalsBetween(freed, time.Now()); c.isPreferred && got < want {
+						t.Errorf("%s got %d requests in 2 s, 3 s after the end of its limit, want %d at least", w.ID, got, want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A stage worker that names a limit must get no more calls of any kind than that.
+func TestStageWorkerGetsMoreThanItsLimit(t *testing.T) {
+	const limit = 2
+	d := deploy(t, 3)
+	d.addWorkers(stand.ServiceEncode)
+	p := pace{d, []string{stand.PathStream}, 40 * time.Millisecond}
+	p.run("before", time.Second)
+	w := d.workers[stand.ServiceEncode+"-a"]
+	w.SetLimit(strconv.Itoa(limit))
+	named := time.Now()
+	wantServed(t, p.run("limited", 10*time.Second))
+	wantLimitKept(t, w, limit, named.Add(limitLearnTime), time.Now())
+	wantNotStarved(t, w, limit, named.Add(limitLearnTime), time.Now())
+}
+
+// addWorkers starts two more workers of a service in each zone.
+func (d *deployment) addWorkers(service string) {
+	for i := range 2 {
+		for _, zone := range []string{"a", "b"} {
+			id := fmt.Sprint(service, "-", zone, i)
+			switch service {
+			case stand.ServiceEngine:
+				d.addEngine(id, zone)
+			case stand.ServiceEncode:
+				d.start(&stand.Worker{ID: id, Service: service, Zone: zone, Kind: stand.Stage, Delay: 20 * time.Millisecond})
+			default:
+				d.start(&stand.Worker{ID: id, Service: service, Zone: zone, Kind: stand.Plain, Slots: 4})
+			}
+		}
+	}
+}
