Keep requests to an upstream within the limit that it names

What callers saw: nothing.

Cause: no code read the limit. The class of fault: a bound that holds for all nodes together has nobody who keeps it. Reading the header alone would not do, since each of seven nodes would then keep the whole limit by itself.

Package limit: what is known of the limits (a register for each process of an upstream; the newest change wins, of two at once the one that allows less), the division into shares, and a token bucket. Gossip spreads a change at once, as it does marks. About one node for each request a second has a share, chosen by rendezvous hashing among the nodes that are live, not leaving and have run for 3 s; nodes that are silent keep their part, so that the parts of a divided fleet together keep the limit. A stage worker's share is its owner's. Each request of any kind takes a token: first attempts, retries, resumed streams, stage calls, frees and reports. An upstream that got nothing for 2 s gets the next request, as only a response shows that a limit has ended. If all upstreams of a service have limits, requests are refused at arrival, with a time to return at the rate of the service, urgent ones first. The scheduler of the stages counts a worker with a limit as the slower one that it is.

New cases: nodes that end and start, limits of zero, another one in each response, and values that are no limits. A log line names each change with its version; limit_share is a gauge.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -121,6 +121,8 @@
 		s.update(e)
 	case Held:
 		s.pauseWorker(e)
+	case Limited:
+		s.limitWorker(now, e)
 	case Drain:
 		s.drain(func(j *job) bool { return j.sent })
 	case Close:
@@ -233,7 +235,8 @@
 }
 
 func (s *Scheduler) queryWorker(now time.Time, w *worker) {
-	if !w.pause.Active(now) {
+	if !w.pause.Active(now) && w.limit.Allows(now) {
+		w.limit.Take(now)
 		s.emit(QueryMemory{Worker: w.upstream})
 	}
 }
--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -11,7 +11,8 @@
 func (s *Scheduler) dispatch(now time.Time, p *pool) {
 	s.expireJobs(now, p)
 	for _, w := range p.workers {
-		if len(w.toFree) > 0 && !w.pause.Active(now) && now.Sub(w.lastFreeAt) >= freeInterval {
+		if len(w.toFree) > 0 && w.mayFree(now) {
+			w.limit.Take(now)
 			s.emit(Free{Worker: w.upstream, Handles: w.toFree})
 			w.toFree, w.lastFreeAt = nil, now
 		}
@@ -43,6 +44,18 @@
 	})
 }
 
+// mayFree reports whether a worker can be sent a call that frees results. A call that runs
+// pieces goes first if the worker's limit does not allow both, unless memory is short.
+func (w *worker) mayFree(now time.Time) bool {
+	if w.pause.Active(now) || now.Sub(w.lastFreeAt) < freeInterval || !w.limit.Allows(now) {
+		return false
+	}
+	return !w.limit.Limited() || w.lowOnSpace() || now.Sub(w.lastFreeAt) >= limitedFreeInterval
+}
+
+// limitedFreeInterval is freeInterval for a worker with a limit, whose calls are few.
+const limitedFreeInterval = 2 * time.Second
+
 // freeInterval is the minimum time between two calls that free results at a worker.
 const freeInterval = 12 * time.Millisecond
 
@@ -227,6 +240,7 @@
 	s.counts.Calls++
 	s.counts.Items += int64(len(c.pieces))
 	c.expected = callTime(p.batch, len(c.pieces))
+	c.worker.limit.Take(now)
 	c.worker.calls = append(c.worker.calls, c)
 	c.number = s.lastCallNumber
 	s.calls[c.number] = c
--- a/batch/event.go
+++ b/batch/event.go
@@ -124,6 +124,15 @@
 		Born   int64
 		Until  time.Time
 	}
+	// Limited sets the rate at which this node may send calls of all kinds to a worker
+	// process, or removes the limit.
+	Limited struct {
+		Worker  string
+		Born    int64
+		Limited bool
+		// Rate is in calls per second.
+		Rate float64
+	}
 	// Drain refuses the jobs of which no piece was sent, and new ones but for those
 	// submitted as a last resort. The other jobs still finish.
 	Drain struct{}
@@ -142,6 +151,7 @@
 func (SpaceReported) BatchEvent() {}
 func (SetWorkers) BatchEvent()    {}
 func (Held) BatchEvent()          {}
+func (Limited) BatchEvent()       {}
 func (Drain) BatchEvent()         {}
 func (Close) BatchEvent()         {}
 func (Tick) BatchEvent()          {}
--- /dev/null
+++ b/batch/limit_test.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A worker with a limit must get no more calls than it allows, and admission must count it as
+// the slower worker that it then is.
+func TestLimitOfWorker(t *testing.T) {
+	const length = 8 * time.Second
+	run := func(t *testing.T, rate float64) (calls, done, refused int) {
+		t.Helper()
+		h := newHarness(t, "a1", "a2")
+		h.step(Limited{Worker: "a1", Limited: true, Rate: rate})
+		for i := range int(length / (20 * time.Millisecond)) {
+			h.submit(fmt.Sprint(i), "a", 2, 800*time.Millisecond)
+			h.run(20 * time.Millisecond)
+			h.releaseAll()
+		}
+		h.run(time.Second)
+		for _, c := range h.sent {
+			if c.Worker.ID == "a1" {
+				calls++
+			}
+		}
+		for _, r := range h.refused {
+			if r.RetryAfter <= 0 {
+				t.Errorf("job %v is refused without a time to retry", r.Ref)
+			}
+		}
+		return calls, len(h.done), len(h.refused)
+	}
+	t.Run("some calls", func(t *testing.T) {
+		const rate = 1.5
+		calls, done, refused := run(t, rate)
+		t.Logf("%d calls, %d jobs done, %d refused", calls, done, refused)
+		if most := int(rate * (length + time.Second).Seconds()); calls > most || calls < most/2 {
+			t.Errorf("worker got %d calls, want %d to %d", calls, most/2, most)
+		}
+		// The other worker does 10 pieces, or 5 jobs, in 300 ms: 133 jobs in 8 s.
+		if done < 133 {
+			t.Errorf("%d jobs are done, want 133 at least", done)
+		}
+	})
+	t.Run("no calls", func(t *testing.T) {
+		calls, done, _ := run(t, 0)
+		if calls > 0 || done < 110 {
+			t.Errorf("worker got %d calls and %d jobs are done, want none and 110 at least", calls, done)
+		}
+	})
+	t.Run("limit ends", func(t *testing.T) {
+		h := newHarness(t, "a1")
+		h.step(Limited{Worker: "a1", Limited: true, Rate: 0})
+		h.step(Limited{Worker: "a1"})
+		ref := h.submit("job", "a", 1, time.Second)
+		h.run(time.Second)
+		h.wantDone(ref, 1)
+	})
+	t.Run("frees count", func(t *testing.T) {
+		const rate = 2
+		h := newHarness(t, "a1")
+		h.step(Limited{Worker: "a1", Limited: true, Rate: rate})
+		frees := 0
+		for i := range 200 {
+			h.submit(fmt.Sprint(i), "a", 1, time.Second)
+			before := h.freed
+			h.run(50 * time.Millisecond)
+			if h.freed > before {
+				frees++
+			}
+			h.releaseAll()
+		}
+		if most := rate*10 + 1; len(h.sent)+frees > most || frees == 0 {
+			t.Errorf("worker got %d calls, %d of them to free results; want %d at most, and some to free results", len(h.sent)+frees, frees, most)
+		}
+	})
+}
--- a/batch/pool.go
+++ b/batch/pool.go
@@ -125,6 +125,16 @@
 // fullCallTime returns the duration of a call of MaxPieces pieces at full speed.
 func (p *pool) fullCallTime() time.Duration { return callTime(p.batch, p.batch.MaxPieces) }
 
+// roundTime returns the time in which workers run one full call for each of their slots. It
+// is longer than a call if limits of workers keep them idle in between.
+func (p *pool) roundTime(workers []*worker) time.Duration {
+	rounds := 0.0 // per second and slot
+	for _, w := range workers {
+		rounds += float64(w.slots()) / w.callPeriod(p.fullCallTime()).Seconds()
+	}
+	return time.Duration(float64(totalSlots(workers)) / rounds * float64(time.Second))
+}
+
 // estimateWait estimates how long pieces that arrive now wait for one of the workers,
 // with queued pieces before them.
 func (p *pool) estimateWait(now time.Time, workers []*worker, queued int) time.Duration {
@@ -140,5 +150,5 @@
 	wait := first.Sub(now)
 	// Pieces that do not fit into the next call of each slot wait for further full calls.
 	room := p.batch.MaxPieces * totalSlots(workers)
-	return wait + time.Duration(float64(queued/room)*float64(p.fullCallTime()))
+	return wait + time.Duration(queued/room)*p.roundTime(workers)
 }
--- a/batch/throughput.go
+++ b/batch/throughput.go
@@ -43,7 +43,8 @@
 func (p *pool) fullRate(workers []*worker) float64 {
 	rate := 0.0
 	for _, w := range workers {
-		rate += float64(w.slots()*p.batch.MaxPieces) / (p.fullCallTime().Seconds() * w.slowness)
+		callTime := time.Duration(float64(p.fullCallTime()) * w.slowness)
+		rate += float64(w.slots()*p.batch.MaxPieces) / w.callPeriod(callTime).Seconds()
 	}
 	return rate
 }
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -6,6 +6,7 @@
 
 	"teaselplank/fleet"
 	"teaselplank/health"
+	"teaselplank/limit"
 )
 
 // A worker is the scheduler's view of one worker of a stage service.
@@ -26,6 +27,8 @@
 	pausedUntil time.Time
 	// pause is how long the worker wants no calls of any kind.
 	pause health.Pause
+	// limit keeps this node's calls of all kinds to its share of the worker's limit.
+	limit limit.Bucket
 	// held maps handles to the results at the worker, usedBytes is their approximate
 	// size, and reservedBytes that of the results of the calls in flight.
 	held          map[string]heldResult
@@ -98,6 +101,9 @@
 // usable reports whether the worker can be sent calls at all. It cannot if not even a probe
 // was answered.
 func (w *worker) usable(now time.Time) bool {
+	if w.limit.Limited() && w.limit.Rate() <= 0 {
+		return false
+	}
 	return !w.upstream.Draining && !w.pause.Active(now) && !w.health.Suspect(now) && w.overdueCalls() <= w.slots()
 }
 
@@ -108,6 +114,27 @@
 	}
 }
 
+// limitWorker sets or removes this node's share of a worker's limit.
+func (s *Scheduler) limitWorker(now time.Time, e Limited) {
+	w := s.worker(e.Worker)
+	switch {
+	case w == nil || w.upstream.Born != e.Born:
+	case e.Limited:
+		w.limit.SetRate(now, e.Rate)
+	default:
+		w.limit.Remove()
+	}
+}
+
+// callPeriod returns the shortest time between the starts of two calls of one slot, given the
+// duration of a call.
+func (w *worker) callPeriod(d time.Duration) time.Duration {
+	if !w.limit.Limited() {
+		return d
+	}
+	return max(d, time.Duration(float64(w.slots())/w.limit.Rate()*float64(time.Second)))
+}
+
 // slots returns the number of calls that the worker runs at once.
 func (w *worker) slots() int { return max(w.batch.MaxRunning, 1) }
 
@@ -144,12 +171,12 @@
 
 // idle reports whether the worker can take a call now.
 func (w *worker) idle(now time.Time) bool {
-	return w.usable(now) && w.freeSlots() > 0 && !now.Before(w.pausedUntil)
+	return w.usable(now) && w.freeSlots() > 0 && !now.Before(w.pausedUntil) && w.limit.Allows(now)
 }
 
 // nextFreeAt estimates when the worker can take its next call.
 func (w *worker) nextFreeAt(now time.Time) time.Time {
-	at := latest(now, w.pausedUntil)
+	at := latest(now.Add(w.limit.Wait(now)), w.pausedUntil)
 	if w.freeSlots() > 0 {
 		return at
 	}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"teaselplank/limit"
 )
 
 // A Notice is what an upstream says about itself in a response, whatever the response
@@ -14,6 +16,8 @@
 	Leaving bool
 	// RetryAfter is how long the upstream wants no requests from this node, or 0.
 	RetryAfter time.Duration
+	// Limit is the rate of requests that the upstream takes from all nodes together.
+	Limit limit.Statement
 }
 
 // maxHoldSpread is the largest share of RetryAfter that is added to a hold, so that the
--- a/member/event.go
+++ b/member/event.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"time"
+
+	"teaselplank/limit"
 	"teaselplank/wire"
 )
 
@@ -19,6 +22,14 @@
 // MarkObserved carries a mark learned on the data path or from the host itself.
 type MarkObserved struct{ Mark Mark }
 
+// LimitStated carries what a response to a request that was sent at SentAt says of the limit
+// of its upstream.
+type LimitStated struct {
+	Process   limit.Process
+	Statement limit.Statement
+	SentAt    time.Time
+}
+
 // Stop asks this node to announce that it is leaving.
 type Stop struct{}
 
@@ -34,6 +45,7 @@
 func (HostsListed) MemberEvent()    {}
 func (DigestReceived) MemberEvent() {}
 func (MarkObserved) MemberEvent()   {}
+func (LimitStated) MemberEvent()    {}
 func (Stop) MemberEvent()           {}
 func (SelfUpdated) MemberEvent()    {}
 func (Tick) MemberEvent()           {}
@@ -52,6 +64,10 @@
 // MarkAdded reports a new mark.
 type MarkAdded struct{ Mark Mark }
 
-func (Gossip) MemberEffect()    {}
-func (Changed) MemberEffect()   {}
-func (MarkAdded) MemberEffect() {}
+// LimitChanged reports what is newly known of the limit of an upstream.
+type LimitChanged struct{ Limit limit.Limit }
+
+func (Gossip) MemberEffect()       {}
+func (Changed) MemberEffect()      {}
+func (MarkAdded) MemberEffect()    {}
+func (LimitChanged) MemberEffect() {}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"teaselplank/limit"
 )
 
 // A Digest is the message that nodes exchange by gossip. Its lists are bounded.
@@ -10,6 +12,8 @@
 	From  Node   `json:"from"`
 	Nodes []Node `json:"nodes"`
 	Marks []Mark `json:"marks"`
+	// Limits are the limits that upstreams have named.
+	Limits []limit.Limit `json:"limits,omitempty"`
 }
 
 func (g *Group) receive(now time.Time, d Digest) {
@@ -20,6 +24,11 @@
 	for _, m := range d.Marks {
 		g.addMark(m)
 	}
+	for _, l := range d.Limits {
+		if g.limits.Merge(now, l) {
+			g.spreadLimit(l)
+		}
+	}
 }
 
 // mergeNode updates the entry of a node. It ignores older information.
@@ -82,7 +91,8 @@
 }
 
 // Digest returns this node's digest for one round: the node itself, a window over
-// the other nodes that advances with each call, and the newest marks.
+// the other nodes that advances with each call, the newest marks, and a window over the
+// limits of upstreams.
 func (g *Group) Digest() Digest {
 	d := Digest{From: g.self}
 	peers := g.Peers()
@@ -98,6 +108,7 @@
 	}
 	marks := g.marks.Keys()
 	d.Marks = marks[max(len(marks)-g.config.MaxMarks, 0):]
+	d.Limits = g.limits.Window(g.config.MaxLimits)
 	return d
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -6,6 +6,7 @@
 // A mark records that a host is leaving, by its id and incarnation. A mark is never
 // removed by later information, and a new mark is sent to other nodes at once. A
 // leaving host therefore gets no new work even while the platform is unavailable.
+// The limits that upstreams name spread in the same way.
 // The package is a reducer: Step takes an event and returns effects.
 package member
 
@@ -17,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"teaselplank/limit"
 	"teaselplank/queue"
 	"teaselplank/state"
 	"teaselplank/wire"
@@ -35,11 +37,13 @@
 	// nodes, because a digest carries at most MaxNodes of them.
 	SuspectAfter time.Duration
 	DeadAfter    time.Duration
-	// Fanout is the number of nodes that a new mark is sent to at once.
+	// Fanout is the number of nodes that a new mark or limit is sent to at once.
 	Fanout int
-	// MaxNodes and MaxMarks bound the nodes and the marks in one digest.
-	MaxNodes int
-	MaxMarks int
+	// MaxNodes, MaxMarks and MaxLimits bound the nodes, the marks and the limits of
+	// upstreams in one digest.
+	MaxNodes  int
+	MaxMarks  int
+	MaxLimits int
 }
 
 // DefaultConfig returns the defaults for parameters that the settings do not set.
@@ -51,6 +55,7 @@
 		Fanout:       3,
 		MaxNodes:     12,
 		MaxMarks:     64,
+		MaxLimits:    16,
 	}
 }
 
@@ -139,6 +144,7 @@
 	// entryAddrs are the addresses of the other entry hosts in the last host list.
 	entryAddrs []string
 	marks      queue.FIFOMap[Mark, struct{}]
+	limits     limit.Table
 	random     *rand.Rand
 	// nextRound is when the next gossip round starts.
 	nextRound time.Time
@@ -171,6 +177,10 @@
 		g.receive(now, e.Digest)
 	case MarkObserved:
 		g.addMark(e.Mark)
+	case LimitStated:
+		if l, changed := g.limits.State(now, e.SentAt, e.Process, e.Statement); changed {
+			g.spreadLimit(l)
+		}
 	case Stop:
 		g.self.Leaving = true
 		g.addMark(Mark{g.self.ID, g.self.Incarnation})
@@ -254,6 +264,28 @@
 	return elders
 }
 
+// settledRounds is the number of rounds after which a node knows the others, and they know it.
+const settledRounds = 6
+
+// Settled returns the nodes, this one included, that are live, not leaving and known to the
+// others. The total includes those that are silent.
+func (g *Group) Settled() (nodes []Node, total int) {
+	if !g.self.Leaving && g.self.Heartbeat >= settledRounds {
+		nodes = append(nodes, g.self)
+	}
+	silent := 0
+	for _, p := range g.Peers() {
+		switch {
+		case p.node.Heartbeat < settledRounds || g.IsLeaving(p.node.ID, p.node.Incarnation):
+		case p.state == Live:
+			nodes = append(nodes, p.node)
+		default:
+			silent++
+		}
+	}
+	return nodes, len(nodes) + silent
+}
+
 func (g *Group) emit(e Effect) { g.effects = append(g.effects, e) }
 
 // setHosts applies the platform's host list.
@@ -289,12 +321,31 @@
 	}
 	g.emit(MarkAdded{m})
 	g.emit(Changed{})
-	digest := Digest{From: g.self, Marks: []Mark{m}}
+	g.spread(Digest{From: g.self, Marks: []Mark{m}})
+}
+
+// spread sends news to some nodes at once, which do the same.
+func (g *Group) spread(d Digest) {
 	for _, addr := range g.randomAddrs(g.config.Fanout) {
-		g.emit(Gossip{addr, digest})
+		g.emit(Gossip{addr, d})
 	}
 }
 
+// spreadLimit reports a limit that has changed, and sends it to other nodes.
+func (g *Group) spreadLimit(l limit.Limit) {
+	g.emit(LimitChanged{l})
+	g.spread(Digest{From: g.self, Limits: []limit.Limit{l}})
+}
+
+// ConcernsLimit reports whether a statement about the limit of a process may change what is
+// known of it.
+func (g *Group) ConcernsLimit(p limit.Process, s limit.Statement) bool {
+	return s.Named || g.limits.Knows(p)
+}
+
+// Limits returns what is known of the limits of upstreams, also of those that have ended.
+func (g *Group) Limits() []limit.Limit { return g.limits.All() }
+
 func (g *Group) transition(p *Peer, event input) {
 	next, err := peerStates.Next(p.state, event)
 	if err != nil || next == p.state {
--- a/member/message.go
+++ b/member/message.go
@@ -1,6 +1,9 @@
 package member
 
-import "teaselplank/peerpb"
+import (
+	"teaselplank/limit"
+	"teaselplank/peerpb"
+)
 
 // Message converts the digest to its protocol message.
 func (d Digest) Message() *peerpb.DigestMessage {
@@ -11,6 +14,11 @@
 	for _, k := range d.Marks {
 		m.Marks = append(m.Marks, &peerpb.MarkMessage{Host: k.Host, Incarnation: k.Incarnation})
 	}
+	for _, l := range d.Limits {
+		m.Limits = append(m.Limits, &peerpb.LimitMessage{
+			Upstream: l.Process.ID, Born: l.Process.Born, Rate: l.Rate, Ended: l.Ended, Version: l.Version,
+		})
+	}
 	return m
 }
 
@@ -35,6 +43,11 @@
 	for _, k := range m.GetMarks() {
 		d.Marks = append(d.Marks, Mark{Host: k.GetHost(), Incarnation: k.GetIncarnation()})
 	}
+	for _, l := range m.GetLimits() {
+		d.Limits = append(d.Limits, limit.Limit{
+			Process: limit.Process{ID: l.GetUpstream(), Born: l.GetBorn()}, Rate: l.GetRate(), Ended: l.GetEnded(), Version: l.GetVersion(),
+		})
+	}
 	return d
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -104,9 +104,9 @@
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
 		return
 	}
-	chosen, ok := n.pick(p.candidates(now, r), r)
+	chosen, ok := n.pick(p.dueForCheck(now, p.candidates(now, r)), r)
 	if !ok {
-		n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now, r)))
+		n.failWithoutUpstream(now, r, p)
 		return
 	}
 	if r.uncharged && !p.retryBudget.Spend(n.config.Budget, now, n.nodes) {
@@ -126,11 +126,12 @@
 	r.attempts++
 	r.tried = append(r.tried, u.ID)
 	r.current = &attempt{number: r.attempts, upstream: u, sentAt: now, pendingTokens: r.PromptTokens}
+	u.limit.Take(now)
 	u.inFlight++
 	u.pendingTokens += r.PromptTokens
 	n.counts.Sent++
 	n.record(r, trace.Sent, "", append(append(r.origin.attrs(now), n.stopAttrs(now, r)...), "attempt", r.attempts, "upstream", u.ID, "zone", u.Zone, "service", r.service,
-		"software", u.Version, "flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds())...)
+		"software", u.Version, "flight", u.inFlight, "others", int(chosen.OthersInFlight), "left_ms", r.deadline.Sub(now).Milliseconds(), "limit_share", u.limit.Rate())...)
 	n.recordOrigin(now, r, r.current)
 	n.emit(n.sendEffect(now, r))
 }
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -154,6 +154,18 @@
 		Born  int64
 		Until time.Time
 	}
+	// UpstreamLimited sets the rate at which this node may send requests to an upstream
+	// process, or removes the limit.
+	UpstreamLimited struct {
+		ID      string
+		Born    int64
+		Limited bool
+		// Rate is what this node may send, and Total what all nodes together may send, in
+		// requests per second.
+		Rate, Total float64
+		// Spread is the number of nodes for each one that may send requests there.
+		Spread float64
+	}
 	// UpstreamChecked reports whether the process of an upstream has ended.
 	UpstreamChecked struct {
 		ID    string
@@ -194,6 +206,7 @@
 func (Configured) ProxyEvent()          {}
 func (UpstreamsRegistered) ProxyEvent() {}
 func (UpstreamHeld) ProxyEvent()        {}
+func (UpstreamLimited) ProxyEvent()     {}
 func (UpstreamChecked) ProxyEvent()     {}
 func (CasesRead) ProxyEvent()           {}
 func (CasesForgotten) ProxyEvent()      {}
@@ -385,6 +398,7 @@
 	ReasonAnswered       Reason = "answered"
 	ReasonInvalidRequest Reason = "request is not valid"
 	ReasonUnknownOrigin  Reason = "version that began the stream is not known"
+	ReasonLimit          Reason = "upstreams are at their limits"
 	ReasonPoison         Reason = "a part of the prompt crashes upstreams"
 )
 
--- /dev/null
+++ b/proxy/limit_test.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// limit sets this node's share of the limits of upstreams, of four nodes that share them.
+func (h *harness) limit(rate float64, ids ...string) {
+	for _, id := range ids {
+		h.step(UpstreamLimited{ID: id, Born: 1, Limited: true, Rate: rate, Total: 4 * rate, Spread: 1})
+	}
+}
+
+// What an upstream's limit does not allow must go to others, or be refused at once.
+func TestUpstreamLimited(t *testing.T) {
+	t.Run("others get the requests", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(1, "deska")
+		got := make(map[string]int)
+		for range 100 {
+			h.now = h.now.Add(100 * time.Millisecond)
+			h.arrive("/safe/")
+			got[find[Send](h).Upstream.ID]++
+			h.respond(1, http.StatusOK, false)
+			h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+		}
+		if got["deska"] < 4 || got["deska"] > 10 {
+			t.Errorf("upstream with a limit got %d requests in 10 s, want 4 to 10; all: %v", got["deska"], got)
+		}
+	})
+	t.Run("refused at once", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(1, "deska", "deskb", "deskc")
+		h.arrive("/unsafe/")
+		wantReply(t, h, http.StatusServiceUnavailable, ReasonLimit)
+		h.now = h.now.Add(time.Second)
+		h.arrive("/unsafe/")
+		find[Send](h)
+	})
+	t.Run("no stages for what comes too late", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(0.1, "enginea", "engineb", "enginec")
+		h.arrive("/stream/", 1, 1)
+		wantReply(t, h, http.StatusServiceUnavailable, ReasonLimit)
+	})
+	t.Run("stages while a share is saved up", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(1, "enginea", "engineb", "enginec")
+		admitted := 0
+		for range 20 {
+			h.arrive("/stream/", 1, 1)
+			for _, e := range h.effects {
+				if _, ok := e.(RunStage); ok {
+					admitted++
+				}
+			}
+		}
+		if admitted < 3 || admitted > 6 {
+			t.Errorf("%d streams of 20 are admitted at 3 a second with 1.8 s time, want 3 to 6", admitted)
+		}
+	})
+	t.Run("limit ends", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(0, "deska", "deskb", "deskc")
+		h.step(UpstreamLimited{ID: "deska", Born: 1})
+		h.arrive("/safe/")
+		find[Send](h)
+	})
+	t.Run("another process", func(t *testing.T) {
+		h := newHarness(t)
+		h.step(UpstreamLimited{ID: "deska", Born: 2, Limited: true})
+		h.arrive("/safe/")
+		if got := find[Send](h).Upstream.ID; got != "deska" {
+			t.Errorf("request goes to %s, want deska", got)
+		}
+	})
+	t.Run("a retry needs a share", func(t *testing.T) {
+		h := newHarness(t)
+		h.limit(0, "deskb", "deskc")
+		h.arrive("/safe/")
+		h.attemptFailed(1, ConnectionFailed, "")
+		wantReply(t, h, http.StatusBadGateway, ReasonUpstreamFailed)
+	})
+}
+
+func wantReply(t *testing.T, h *harness, status int, reason Reason) {
+	t.Helper()
+	if r := find[Reply](h); r.Status != status || r.Reason != reason || status == http.StatusServiceUnavailable && r.RetryAfter <= 0 {
+		t.Errorf("reply is %+v, want status %d, reason %q, and a time to retry if it is 503", r, status, reason)
+	}
+}
+
+// Clients must return at the rate at which they can be served, the more urgent ones first.
+func TestReturnSchedule(t *testing.T) {
+	var s returnSchedule
+	next := func(rank int) time.Duration { return s.next(start, rank, 100*time.Millisecond, time.Second) }
+	for i, c := range []struct {
+		rank int
+		want time.Duration
+	}{
+		{2, 100 * time.Millisecond}, {2, 1100 * time.Millisecond}, {1, 100 * time.Millisecond}, {1, 1100 * time.Millisecond},
+		{2, 2100 * time.Millisecond}, {0, 100 * time.Millisecond},
+	} {
+		if got := next(c.rank); got != c.want {
+			t.Errorf("return %d of rank %d is after %s, want %s", i, c.rank, got, c.want)
+		}
+	}
+	for range 20 {
+		if got := next(2); got > maxReturnAfter {
+			t.Errorf("return is after %s, want %s at most", got, maxReturnAfter)
+		}
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -8,6 +8,7 @@
 	"teaselplank/budget"
 	"teaselplank/fleet"
 	"teaselplank/health"
+	"teaselplank/limit"
 	"teaselplank/picker"
 )
 
@@ -16,6 +17,9 @@
 	upstreams   []*upstream
 	byID        map[string]*upstream
 	retryBudget budget.Meter
+	// returns are the times at which clients that were refused for the limits of upstreams
+	// may return.
+	returns returnSchedule
 }
 
 // An upstream is the node's view of one upstream.
@@ -39,6 +43,11 @@
 	onlyZoneFailed bool
 	// pause is how long the upstream wants no requests of this node.
 	pause health.Pause
+	// limit keeps this node to its share of the upstream's limit, limitTotal, which is in
+	// requests per second. limitSpread is the number of nodes for each one with a share.
+	limit       limit.Bucket
+	limitTotal  float64
+	limitSpread float64
 	// lastResponse is the time of the upstream's last response.
 	lastResponse time.Time
 }
@@ -71,7 +80,7 @@
 		if p == nil {
 			p = &pool{byID: make(map[string]*upstream)}
 			if previous := old[u.Service]; previous != nil {
-				p.retryBudget = previous.retryBudget
+				p.retryBudget, p.returns = previous.retryBudget, previous.returns
 			}
 			n.pools[u.Service] = p
 		}
@@ -92,7 +101,7 @@
 func (p *pool) candidates(now time.Time, r *request) []picker.Candidate {
 	var found, ofSuspectZones []picker.Candidate
 	for _, u := range p.upstreams {
-		if u.Draining || u.pause.Active(now) || slices.Contains(r.tried, u.ID) || !r.origin.allows(u) {
+		if u.Draining || u.pause.Active(now) || slices.Contains(r.tried, u.ID) || !r.origin.allows(u) || !u.limit.Allows(now) {
 			continue
 		}
 		switch {
@@ -136,7 +145,8 @@
 
 // setZoneWeights sets the weights of engines so that the engines of each zone together
 // get a share of the prompts equal to the zone's share of the stage workers. This
-// balances the load of the stage workers across zones.
+// balances the load of the stage workers across zones. An engine with a limit has a greater
+// weight where it may be used, since the other nodes do not use it.
 func (n *Node) setZoneWeights(engines []picker.Candidate) []picker.Candidate {
 	byZone := make(map[string]int)
 	for _, e := range engines {
@@ -146,6 +156,9 @@
 		if workers := n.stageWorkers[e.Zone]; workers > 0 {
 			engines[i].Weight = float64(workers) / float64(byZone[e.Zone])
 		}
+		if u := n.upstream(e.ID); u != nil && u.limit.Limited() {
+			engines[i].Weight = max(engines[i].Weight, 1) * max(u.limitSpread, 1)
+		}
 	}
 	return engines
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -128,6 +128,8 @@
 		n.register(now, e.Upstreams)
 	case UpstreamHeld:
 		n.pauseUpstream(e)
+	case UpstreamLimited:
+		n.limitUpstream(now, e)
 	case UpstreamChecked:
 		n.upstreamChecked(e)
 	case CasesRead:
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -156,6 +156,9 @@
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonStopping, busyRetryAfter)
 		return
 	}
+	if n.refuseForLimits(now, r) {
+		return
+	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
 	n.counts.Admitted++
 	n.record(r, trace.Admitted, "", append(n.stopAttrs(now, r), "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -93,13 +93,14 @@
 		return proxy.Unreachable, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
+	sent := x.server.now()
 	response, err := c.RoundTrip(r, len(x.body), 0)
 	if err != nil {
 		stop()
 		c.Close()
 		return failureOf(err), err
 	}
-	x.server.observeNotice(t.send.Upstream, response)
+	x.server.observeNotice(t.send.Upstream, response, sent)
 	t.conn, t.response, t.stopClosing = c, response, stop
 	return "", nil
 }
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"teaselplank/batch"
 	"teaselplank/conns"
@@ -54,10 +55,12 @@
 	return s.node.Usable(s.now(), u.ID, u.Born)
 }
 
-// observeNotice applies what an upstream says about itself in a response. All requests to
+// observeNotice applies what an upstream says about itself in a response to a request that
+// was sent at the given time. All requests to
 // upstreams pass their responses to it.
-func (s *Server) observeNotice(u fleet.Upstream, r *http.Response) {
+func (s *Server) observeNotice(u fleet.Upstream, r *http.Response, sentAt time.Time) {
 	notice := s.protocol.ParseNotice(r)
+	s.observeLimit(u, notice.Limit, sentAt)
 	if notice.Leaving {
 		s.markLeaving(u)
 	}
--- a/relay/gauges.go
+++ b/relay/gauges.go
@@ -17,6 +17,7 @@
 var (
 	storeReadAge     = newDesc("store_read_age_seconds", "Time since the store was last read.", "stream")
 	retriesLeft      = newDesc("repeats_left", "Repeats that the budget allows now.", "service")
+	limitShares      = newDesc("limit_share", "Requests per second that this node may send to upstreams that name limits.", "service")
 	nodesKnown       = newDesc("nodes_known", "Other nodes by their state.", "state")
 	piecesQueued     = newDesc("stage_pieces_waiting", "Pieces that wait at the owner of the stages.", "service")
 	piecesUpcoming   = newDesc("stage_pieces_coming", "Pieces that admitted requests will bring.", "service")
@@ -28,7 +29,7 @@
 
 // Describe implements prometheus.Collector.
 func (g *stateGauges) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{storeReadAge, retriesLeft, nodesKnown, piecesQueued, piecesUpcoming, usableWorkers, callsInFlight, resultBytes, resultBytesLimit} {
+	for _, d := range []*prometheus.Desc{storeReadAge, retriesLeft, limitShares, nodesKnown, piecesQueued, piecesUpcoming, usableWorkers, callsInFlight, resultBytes, resultBytesLimit} {
 		ch <- d
 	}
 }
@@ -60,6 +61,9 @@
 	for service, left := range s.node.RetriesLeft(now) {
 		gauge(retriesLeft, left, service)
 	}
+	for service, share := range s.node.LimitShares() {
+		gauge(limitShares, share, service)
+	}
 	states := make(map[string]int)
 	for _, p := range s.group.Peers() {
 		states[string(p.State())]++
--- /dev/null
+++ b/relay/limit.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"teaselplank/batch"
+	"teaselplank/fleet"
+	"teaselplank/limit"
+	"teaselplank/member"
+	"teaselplank/proxy"
+)
+
+// observeLimit records what a response to a request that was sent at the given time says of
+// its upstream's limit.
+func (s *Server) observeLimit(u fleet.Upstream, statement limit.Statement, sentAt time.Time) {
+	if statement.Unreadable {
+		s.metrics.countInvalid("limit")
+	}
+	process := limit.Process{ID: u.ID, Born: u.Born}
+	s.mu.Lock()
+	concerns := s.group.ConcernsLimit(process, statement)
+	s.mu.Unlock()
+	if concerns {
+		s.memberStep(member.LimitStated{Process: process, Statement: statement, SentAt: sentAt})
+	}
+}
+
+// limitsChanged logs and applies limits that have changed.
+func (s *Server) limitsChanged(limits []limit.Limit) {
+	if len(limits) == 0 {
+		return
+	}
+	for _, l := range limits {
+		s.logger.Info("limit of an upstream has changed", "upstream", l.Process.ID, "born", l.Process.Born, "limit", l.Rate, "ended", l.Ended, "version", l.Version)
+	}
+	s.applyLimits()
+}
+
+// applyLimits passes this node's shares of the limits of upstreams to the reducers. Concurrent
+// calls run one after the other, so that the newest shares are passed last.
+func (s *Server) applyLimits() {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	limits, ids, total := s.registeredLimits()
+	for _, l := range limits {
+		share := s.divide(l, ids, total)
+		rate := share.Of(s.self.ID)
+		s.step(proxy.UpstreamLimited{
+			ID: l.Process.ID, Born: l.Process.Born, Limited: !l.Ended, Rate: rate, Total: l.Rate,
+			Spread: float64(len(ids)) / float64(max(len(share.Holders), 1)),
+		})
+		s.owner.step(batch.Limited{Worker: l.Process.ID, Born: l.Process.Born, Limited: !l.Ended, Rate: rate})
+	}
+}
+
+// registeredLimits returns the limits of registered upstreams, the IDs of the nodes that may
+// share them, and the number of nodes with those that are silent.
+func (s *Server) registeredLimits() (limits []limit.Limit, ids []string, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.group.Limits() {
+		if u, ok := s.directory.Get(l.Process.ID); ok && u.Born == l.Process.Born {
+			limits = append(limits, l)
+		}
+	}
+	if len(limits) == 0 {
+		return nil, nil, 0
+	}
+	nodes, total := s.group.Settled()
+	for _, n := range nodes {
+		ids = append(ids, n.ID)
+	}
+	return limits, ids, total
+}
+
+// activeLimits returns the limits of registered upstreams that have not ended.
+func (s *Server) activeLimits() []limit.Limit {
+	limits, _, _ := s.registeredLimits()
+	return slices.DeleteFunc(limits, func(l limit.Limit) bool { return l.Ended })
+}
+
+// divide divides the limit of an upstream among nodes. That of a stage worker belongs to the
+// owner of its zone.
+func (s *Server) divide(l limit.Limit, ids []string, total int) limit.Share {
+	if l.Ended || len(ids) == 0 {
+		return limit.Share{}
+	}
+	share := limit.Divide(l, ids, total)
+	s.mu.Lock()
+	u, _ := s.directory.Get(l.Process.ID)
+	owned := s.config.table != nil && isStage(s.config.table.Service(u.Service))
+	s.mu.Unlock()
+	if owned {
+		return limit.Share{Rate: share.Rate * float64(len(share.Holders)), Holders: []string{s.stageOwner(u.Zone).ID}}
+	}
+	return share
+}
+
+func isStage(service *fleet.Service) bool { return service != nil && service.Batch != nil }
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -149,6 +150,75 @@
 	wantNotStarved(t, w, limit, named.Add(limitLearnTime), time.Now())
 }
 
+// A limit must hold while the nodes that share it end and others start, and the upstream must
+// go on getting requests.
+func TestLimitAsNodesComeAndGo(t *testing.T) {
+	t.Parallel()
+	const limit = 2
+	d := deploy(t, 4)
+	d.addWorkers(stand.ServiceEngine)
+	nodes := slices.Clone(d.nodes)
+	p := pace{&deployment{t: t, nodes: nodes}, []string{stand.PathOnce}, 12500 * time.Microsecond}
+	p.run("before", 2*time.Second)
+	w := d.workers[stand.ServiceEngine+"-a"]
+	w.SetLimit(strconv.Itoa(limit))
+	named := time.Now()
+	var group sync.WaitGroup
+	group.Go(func() { p.run("limited", 14*time.Second) })
+	time.Sleep(3 * time.Second)
+	for _, n := range nodes {
+		if n.share(w.ID) > 0 {
+			n.server.close() // It ends without a word.
+		}
+	}
+	late := d.addNode("late")
+	d.await("the new node is ready", func() bool { return d.isReady(late) })
+	d.await("the new node knows the limit", func() bool { return len(late.server.activeLimits()) == 1 })
+	left := time.Now()
+	group.Wait()
+	wantLimitKept(t, w, limit, named.Add(limitLearnTime), time.Now())
+	wantNotStarved(t, w, limit, left.Add(5*time.Second), time.Now())
+}
+
+// share returns the rate at which a node may send requests to an upstream with a limit.
+func (n *testNode) share(id string) float64 {
+	s := n.server
+	limits, ids, total := s.registeredLimits()
+	for _, l := range limits {
+		if l.Process.ID == id {
+			return s.divide(l, ids, total).Of(s.self.ID)
+		}
+	}
+	return 0
+}
+
+// A worker that names zero, another limit in each response, or no number at all must get what
+// it names last at most, and what is no limit must not become one.
+func TestOddLimits(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	d.addWorkers(stand.ServiceEngine)
+	p := pace{d, []string{stand.PathOnce}, 12500 * time.Microsecond}
+	p.run("before", 3*time.Second)
+	zero, changing, odd := d.workers["engine-a"], d.workers["engine-b"], d.workers["engine-a0"]
+	zero.SetLimit("0")
+	named := time.Now()
+	var group sync.WaitGroup
+	group.Go(func() { p.run("limited", 9*time.Second) })
+	values := []string{"-1", "many", "NaN", "1e400", "+Inf", ""}
+	for i := range 450 {
+		changing.SetLimit([]string{"2", "40", "1e300"}[i%3])
+		odd.SetLimit(values[i%len(values)])
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	wantLimitKept(t, zero, 0, named.Add(limitLearnTime), time.Now())
+	wantLimitKept(t, changing, 2, named.Add(2*limitLearnTime), time.Now())
+	if got := odd.ArrivalsBetween(named, time.Now()); got < 50 {
+		t.Errorf("%s got %d requests in 9 s, want 50 at least", odd.ID, got)
+	}
+}
+
 // addWorkers starts two more workers of a service in each zone.
 func (d *deployment) addWorkers(service string) {
 	for i := range 2 {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -10,6 +10,7 @@
 
 	"teaselplank/batch"
 	"teaselplank/infra"
+	"teaselplank/limit"
 	"teaselplank/proxy"
 )
 
@@ -159,15 +160,17 @@
 	Upstreams int          `json:"upstreams"`
 	Live      []string     `json:"live_nodes"`
 	Poison    [][]string   `json:"poisonous_parts"`
+	// Limits are those that upstreams name now.
+	Limits []limit.Limit `json:"limits"`
 }
 
 func (s *Server) serveDump(w http.ResponseWriter, _ *http.Request) {
-	counts := s.owner.counts()
+	counts, limits := s.owner.counts(), s.activeLimits()
 	s.mu.Lock()
 	d := dump{
 		Node: s.self.ID, Version: s.configVersion(), Unready: s.node.Unready(), Requests: s.node.Len(),
 		Flow: s.node.Counts(), Batch: counts, Upstreams: s.directory.Len(),
-		Poison: s.node.PoisonGroups(),
+		Poison: s.node.PoisonGroups(), Limits: limits,
 	}
 	for _, n := range s.group.Live() {
 		d.Live = append(d.Live, n.ID)
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -231,14 +231,14 @@
 	if err != nil {
 		return 0, nil, nil, batch.Unreachable
 	}
-	sent := time.Now()
+	sent := s.now()
 	response, err := c.RoundTrip(r, int(r.ContentLength), timeout)
 	if err != nil {
 		c.Close()
 		s.metrics.countUpstreamFailure(u.Service, "exchange")
 		return 0, nil, nil, batch.ConnectionFailed
 	}
-	s.observeNotice(u, response)
+	s.observeNotice(u, response, sent)
 	c.SetReadTimeout(time.Until(sent.Add(timeout)))
 	body, err := readReply(response.Body)
 	if err != nil {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -14,6 +14,7 @@
 	"teaselplank/conns"
 	"teaselplank/fleet"
 	"teaselplank/health"
+	"teaselplank/limit"
 	"teaselplank/member"
 	"teaselplank/peerpb"
 	"teaselplank/poison"
@@ -217,7 +218,9 @@
 	if s.configVersion() > m.GetVersion() {
 		document = s.config.document
 	}
-	state := peerState{Upstreams: s.directory.All(), Removed: s.directory.Removed(), Cases: s.node.PoisonCases()}
+	state := peerState{
+		Upstreams: s.directory.All(), Removed: s.directory.Removed(), Cases: s.node.PoisonCases(), Limits: s.group.Limits(),
+	}
 	s.mu.Unlock()
 	state.Cases = state.Cases[:min(len(state.Cases), maxPeerCases)]
 	hosts, err := json.Marshal(state)
@@ -227,12 +230,13 @@
 	return &peerpb.StateReply{Rules: document, Hosts: hosts}, nil
 }
 
-// A peerState is a node's view of the upstreams and of the prompt parts that crash them,
-// as it is sent to other nodes.
+// A peerState is a node's view of the upstreams, of their limits and of the prompt parts that
+// crash them, as it is sent to other nodes.
 type peerState struct {
 	Upstreams []fleet.Upstream
 	Removed   []fleet.Removal
 	Cases     []poison.Case
+	Limits    []limit.Limit
 }
 
 // Forward belongs to the project's own protocol; an entry host of a deployment does
@@ -245,6 +249,7 @@
 func (s *Server) memberStep(event member.Event) {
 	s.mu.Lock()
 	var sends []member.Gossip
+	var limits []limit.Limit
 	changed := false
 	for _, e := range s.group.Step(s.now(), event) {
 		switch e := e.(type) {
@@ -252,6 +257,8 @@
 			sends = append(sends, e)
 		case member.MarkAdded:
 			changed = s.applyMark(e.Mark) || changed
+		case member.LimitChanged:
+			limits = append(limits, e.Limit)
 		}
 	}
 	live := len(s.group.Live())
@@ -261,6 +268,7 @@
 	}
 	s.mu.Unlock()
 	s.step(proxy.NodeCount{Count: live})
+	s.limitsChanged(limits)
 	if changed {
 		s.updateReducers()
 	}
@@ -363,6 +371,7 @@
 		s.updateReducers()
 	}
 	s.step(proxy.CasesRead{Cases: state.Cases})
+	s.memberStep(member.DigestReceived{Digest: member.Digest{Limits: state.Limits}})
 }
 
 // putUpstreams adds upstreams received from another node and reports whether that changes
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -110,6 +110,10 @@
 	// locked before mu and the owner's lock.
 	notifyMu sync.Mutex
 
+	// limitMu serializes updates of the shares of limits. It is locked before mu and the
+	// owner's lock.
+	limitMu sync.Mutex
+
 	owner    *owner
 	peers    *peers
 	conns    *conns.Pool
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -19,6 +19,9 @@
 	// peerFetchInterval is the interval at which a node fetches state from a peer while it
 	// cannot read upstreams or cases from the store.
 	peerFetchInterval = time.Second
+	// limitInterval is the interval at which the limits of upstreams are divided anew, as
+	// nodes come and go.
+	limitInterval = 500 * time.Millisecond
 )
 
 // startLoops starts the loops that keep the node's view up to date.
@@ -239,6 +242,7 @@
 	s.config, s.division = c, division
 	s.mu.Unlock()
 	s.perform(effects)
+	s.applyLimits()
 	if division.Owners() != before.Owners() {
 		s.logger.Info("stages are divided", "owners", division.Owners(), "before", before.Owners(), "upstreams", len(upstreams))
 	}
@@ -247,7 +251,7 @@
 // memberLoop ticks the group, expires upstreams, and fetches state from peers while it cannot
 // be read from the store.
 func (s *Server) memberLoop() {
-	lastFetch := s.now()
+	lastFetch, lastLimits := s.now(), s.now()
 	for s.sleep(memberTickInterval) {
 		s.memberStep(member.Tick{})
 		now := s.now()
@@ -266,6 +270,10 @@
 		if changed {
 			s.updateReducers()
 		}
+		if now.Sub(lastLimits) >= limitInterval {
+			lastLimits = now
+			s.applyLimits()
+		}
 		if peer != "" {
 			go s.fetchState(peer)
 		}
