Name limits in the fault soak

Plans of the new kind Limits have upstreams that name a limit, change it and drop it, while hosts are killed, stopped, frozen and cut off from each other and from the store. The check counts what reaches an upstream in any 4 s, from all hosts together.

--- a/soak/kind.go
+++ b/soak/kind.go
@@ -21,6 +21,9 @@
 	// Crashes has planned work, and a part of prompts that crashes each engine that begins
 	// to answer a request with it.
 	Crashes PlanKind = "crashes"
+	// Limits has upstreams that name limits, change them and drop them, while hosts end,
+	// start, freeze and are cut off from each other.
+	Limits PlanKind = "limits"
 )
 
 // surroundings are the parameters of a run that depend on the kind of its plan.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,8 @@
 	// UpstreamSilence holds all bytes from and to a sound upstream for the step's
 	// duration and then delivers them.
 	UpstreamSilence Action = "upstream is silent"
+	// UpstreamLimit makes an upstream name limits.
+	UpstreamLimit Action = "upstream names limits"
 	// Publish writes a new version of the configuration.
 	Publish Action = "publish"
 )
@@ -76,6 +78,9 @@
 // plannedActions are the actions of operators, which need no request to fail.
 var plannedActions = []Action{Publish, Publish, Reload, Terminate, UpstreamReplace}
 
+// limitActions are the additional actions of plans with limits.
+var limitActions = []Action{Kill, Pause, PeerLink, StoreLink}
+
 var linkFaults = []Mode{Delay, Reset, HoldRequests, HoldResponses, HoldBoth}
 
 const (
@@ -105,6 +110,10 @@
 		plan = silences.steps(random, length)
 	case Crashes:
 		general.actions = plannedActions
+	case Limits:
+		general.actions = slices.Concat(plannedActions, limitActions)
+		limits := seriesKind{[]Action{UpstreamLimit}, maxLimitSteps, minLimitTime, maxLimitTime}
+		plan = limits.steps(random, length)
 	}
 	plan = append(plan, general.steps(random, length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,7 +6,7 @@
 // or compacts its history, and upstreams that misbehave or drain. Some upstreams send
 // answers with neither a length nor chunks. Faults occur in series and may overlap. Plans
 // of the kind Silences have no faults: sound upstreams fall silent for a moment during
-// planned work. All random choices depend on the seed alone; the exact timing depends on
+// planned work. Plans of the kind Limits have upstreams that name limits. All random choices depend on the seed alone; the exact timing depends on
 // the machine.
 package soak
 
@@ -90,6 +90,9 @@
 	drainingSince time.Time
 	// silentUntil is the end of the current or last silence.
 	silentUntil time.Time
+	// limits are the limits that it has named, and limited is true while it names one.
+	limits  []limitPeriod
+	limited bool
 }
 
 // A faultPeriod is the time between the start and the end of a fault. host and upstream are
@@ -139,7 +142,7 @@
 	for _, h := range d.hosts {
 		h.stop()
 	}
-	violations = slices.Concat(violations, d.check(), d.checkCrashes())
+	violations = slices.Concat(violations, d.check(), d.checkCrashes(), d.checkLimits())
 	if err := d.writeSteps(); err != nil {
 		return Report{}, err
 	}
@@ -333,6 +336,8 @@
 		u.proxy.Set(HoldBoth)
 		time.Sleep(s.Duration)
 		u.proxy.Set(Pass)
+	case UpstreamLimit:
+		d.nameLimits(u, s.Duration, s.FaultIndex)
 	case Publish:
 		d.publish()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,6 +62,11 @@
 	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 12 * time.Second, Kind: Crashes, Clients: 12})
 }
 
+// Upstreams that name limits get what each host alone would send, while hosts come and go.
+func TestSoakLimits(t *testing.T) {
+	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 8 * time.Second, Kind: Limits, Clients: 16})
+}
+
 func buildBinary(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "teaselplank")
