Log a digest of what requests have in common when they are the same

`admitted` and `attempt failed` have a digest of method, target, caller and body now. Bodies are hashed and not kept. No decision uses it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -381,7 +381,7 @@
 	r.noteProgress(e.LastEventID, e.ResponseStarted)
 	n.recordSince(now, a.sentAt, r, trace.AttemptFailed, "", "failure", string(e.Failure), "attempt", e.Attempt,
 		"upstream", a.upstream.ID, "born", a.upstream.Born, "silent_ms", e.Silence.Milliseconds(), "cause", e.Cause,
-		"head", a.responding, "events", a.started, "last_event", r.lastEventID, "parts", r.PromptParts)
+		"head", a.responding, "events", a.started, "last_event", r.lastEventID, "parts", r.PromptParts, "digest", r.Digest)
 	if e.Failure.Unsent() {
 		r.setExecuted(a, false)
 		n.suspectUnreachable(now, a.upstream, e.Failure)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -39,6 +39,9 @@
 	// Resumes is the ID of the attempt whose response had the first event of the stream
 	// that the client resumes, or empty.
 	Resumes string
+	// Digest is the same for requests with the same path, caller and body. It is empty if it
+	// is not known.
+	Digest string
 	// Connection describes the client's connection. It is only logged.
 	Connection Connection
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -161,7 +161,7 @@
 	}
 	n.emit(Admitted{Number: q.Number, Deadline: r.deadline})
 	n.counts.Admitted++
-	n.record(r, trace.Admitted, "", append(n.stopAttrs(now, r), "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank,
+	n.record(r, trace.Admitted, "", append(n.stopAttrs(now, r), "route", r.route.Name, "version", n.version(), "account", r.account, "rank", r.rank, "digest", r.Digest,
 		"due_ms", r.due.Sub(now).Milliseconds(), "patience_ms", r.Timeout.Milliseconds())...)
 	if r.route.Kind == fleet.Stream && r.LastEventID != "" {
 		n.findOrigin(r)
--- a/relay/client.go
+++ b/relay/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
@@ -29,6 +31,7 @@
 	}
 	q.Number = s.lastNumber.Add(1)
 	q.Connection = connectionOf(r)
+	q.Digest = digestOf(r, q.APIKey, body)
 	x := &exchange{
 		server: s, writer: w, httpRequest: r, body: body, request: q,
 		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
@@ -36,6 +39,21 @@
 	x.run()
 }
 
+// digestOf returns a digest of the method, target, caller and body of a request. Clients
+// cannot make up a request that has the digest of another one.
+func digestOf(r *http.Request, key string, body []byte) string {
+	h := sha256.New()
+	for _, field := range []string{r.Method, r.Host, r.RequestURI, key} {
+		// Neither a request line nor a header has the byte 0.
+		_, _ = io.WriteString(h, field+"\x00") // A hash has no errors.
+	}
+	_, _ = h.Write(body)
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
+// digestBytes is the length of a digest.
+const digestBytes = 16
+
 // connectionOf describes the connection of a request that is being served.
 func connectionOf(r *http.Request) proxy.Connection {
 	c := listen.ConnOf(r)
