Keep requests from upstreams that end each of them

Cause: hosts shared what they saw at upstreams that ended for parts of prompts at engines only. A request of any other service, or one that ends engines by what is its own, had nothing that it shared with others in their eyes: each try has another ID. The class of fault is that of the parts: evidence that is worth something only together stays with those that saw a part of it.

A request as a whole is one more part, named by the digest of its method, target, caller and body, in the same cases, stream and exchange between hosts. Its cases weigh the same whether its response had begun, so that three processes suffice; a response of any kind shows that it is sound, for a minute, also to cases that other hosts share; and it is explained, too, by several others that have more cases each, as it may have waited at what they ended. Services of all kinds are checked, not engines alone.

Two of the tests wait until three upstreams have ended now; before, some runs had ended only two. They fail without the change in this form, too. The tests of parts of prompts pass as they were.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,5 +1,6 @@
-// Package poison finds the parts of prompts that crash upstreams, and tells which requests
-// must be kept from upstreams for that.
+// Package poison finds what in requests crashes upstreams, and tells which requests must be
+// kept from upstreams for that: a part of their prompts, or the request as a whole, which its
+// client sends again.
 //
 // A case is one process of an upstream that ended while it had a request with a part. A
 // part with cases at several processes is poisonous, unless responses to other requests
@@ -7,6 +8,11 @@
 // cannot be told apart, so only requests with all of them are held back. A part is explained
 // by another one that has all its cases and more, none with a lower weight.
 //
+// A request as a whole is one more part, named by Whole. It differs in three ways: its cases
+// weigh the same whether its response had begun or not, a single response shows that it is
+// sound, and it is also explained by several others that have more cases each, since it may
+// have waited at upstreams that they ended.
+//
 // The types are plain data without a clock. They are not safe for concurrent use.
 package poison
 
@@ -30,6 +36,14 @@
 	Born int64
 }
 
+// wholePrefix distinguishes whole requests from parts of prompts, whose IDs have no comma.
+const wholePrefix = "request,"
+
+// Whole returns the part that stands for a request as a whole, given a digest of it.
+func Whole(digest string) string { return wholePrefix + digest }
+
+func isWhole(part string) bool { return strings.HasPrefix(part, wholePrefix) }
+
 // A Weight says how much a case counts.
 type Weight int
 
@@ -73,6 +87,9 @@
 	// soundTime is how long a completed response shows that its parts are sound. It
 	// keeps the cases of frequent parts from being shared.
 	soundTime = 2 * time.Second
+	// soundWholeTime is the same for whole requests, which may wait at several upstreams that
+	// another one ends.
+	soundWholeTime = time.Minute
 )
 
 // KeepTime is how long a part is remembered after its last case, or after the last request
@@ -88,8 +105,10 @@
 	groups [][]string
 	byPart map[string][][]string
 	stale  bool
-	// completed is when the last response to a request with a part was completed.
-	completed queue.FIFOMap[string, time.Time]
+	// completed is when the last response to a request with a part was completed, and
+	// completedWhole the same for whole requests, which would displace the parts.
+	completed      queue.FIFOMap[string, time.Time]
+	completedWhole queue.FIFOMap[string, time.Time]
 }
 
 // A suspect is a part with cases.
@@ -131,6 +150,10 @@
 	if s.refuted[c.Process] || s.cases[c.Process] >= c.Weight || len(s.cases) >= maxCases {
 		return nil
 	}
+	if isWhole(c.Part) && d.WasSound(now, c.Part) {
+		s.addRefuted(c.Process)
+		return []Case{{Part: c.Part, Process: c.Process, Weight: Refuted}}
+	}
 	s.put(c.Process, c.Weight)
 	s.lastSeen = now
 	d.stale = true
@@ -142,7 +165,7 @@
 // request was only waiting. Many processes may end at once for another reason, and frequent
 // parts are then waiting at all of them.
 func (d *Detector) Excuses(now time.Time, part string, w Weight) bool {
-	if w == Waiting {
+	if w == Waiting || isWhole(part) {
 		return d.WasSound(now, part)
 	}
 	at, ok := d.completed.Get(part)
@@ -152,6 +175,10 @@
 // WasSound reports whether responses to requests with a part were completed, so that its
 // cases are more likely those of another part.
 func (d *Detector) WasSound(now time.Time, part string) bool {
+	if isWhole(part) {
+		at, ok := d.completedWhole.Get(part)
+		return ok && now.Sub(at) < soundWholeTime
+	}
 	at, ok := d.completed.Get(part)
 	return ok && now.Sub(at) < KeepTime
 }
@@ -228,9 +255,13 @@
 // on long after its beginning: their cases so far do not count. It returns those that must
 // be refuted at other nodes at once, because they are about to hold sound requests back.
 func (d *Detector) Completed(now time.Time, parts []string) (refuted []Case) {
-	d.completed.Limit = maxCompleted
+	d.completed.Limit, d.completedWhole.Limit = maxCompleted, maxCompleted
 	for _, part := range parts {
-		d.completed.Put(part, now)
+		if isWhole(part) {
+			d.completedWhole.Put(part, now)
+		} else {
+			d.completed.Put(part, now)
+		}
 		s := d.suspects[part]
 		if s == nil || len(s.cases) == 0 {
 			continue
@@ -433,13 +464,31 @@
 	return strings.Join(cases, " ")
 }
 
-// explained reports whether one of the sets of parts has all cases of a part and more.
+// explained reports whether one of the sets of parts has all cases of a part and more, or, for
+// a whole request, several of them that have more cases each.
 func (d *Detector) explained(part string, alike [][]string) bool {
 	s := d.suspects[part]
-	return slices.ContainsFunc(alike, func(others []string) bool {
+	heavier := make(map[Process]Weight)
+	for _, others := range alike {
 		o := d.suspects[others[0]]
-		return o != s && coversAll(o.cases, s.cases) && !coversAll(s.cases, o.cases)
-	})
+		if o != s && coversAll(o.cases, s.cases) && !coversAll(s.cases, o.cases) {
+			return true
+		}
+		if o.weight > s.weight {
+			maps.Copy(heavier, o.cases)
+		}
+	}
+	return isWhole(part) && coversProcesses(heavier, s.cases)
+}
+
+// coversProcesses reports whether a has a case at all processes of b.
+func coversProcesses(a, b map[Process]Weight) bool {
+	for p := range b {
+		if _, ok := a[p]; !ok {
+			return false
+		}
+	}
+	return true
 }
 
 // coversAll reports whether a has all cases of b, none of them with a lower weight.
--- /dev/null
+++ b/poison/whole_test.go
@@ -0,0 +1,108 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var bad = Whole("bad")
+
+// A request that ends three processes is held back, whatever its ID, and no other one.
+func TestWholeRequest(t *testing.T) {
+	t.Run("three processes", func(t *testing.T) {
+		var d Detector
+		crash(&d, 1, Begun, bad)
+		crash(&d, 2, Begun, bad)
+		wantMatch(t, &d, false, bad)
+		crash(&d, 3, Begun, bad)
+		wantMatch(t, &d, true, bad)
+		wantMatch(t, &d, false, Whole("other"))
+		wantMatch(t, &d, false, "bad")
+	})
+	t.Run("with parts of its prompt", func(t *testing.T) {
+		var d Detector
+		for i := range 3 {
+			crash(&d, i, Begun, "first", "second", bad)
+		}
+		wantMatch(t, &d, true, "first", "second", bad)
+		wantMatch(t, &d, false, "first", "second", Whole("other"))
+	})
+	t.Run("one that waited at the same processes", func(t *testing.T) {
+		var d Detector
+		for i := range 3 {
+			crash(&d, i, Begun, bad, Whole("waiting"))
+		}
+		crash(&d, 3, Begun, bad)
+		wantMatch(t, &d, true, bad)
+		wantMatch(t, &d, false, Whole("waiting"))
+	})
+	t.Run("one that waited at processes that two others ended", func(t *testing.T) {
+		var d Detector
+		worse := Whole("worse")
+		for i := range 8 {
+			crash(&d, i, Begun, []string{bad, worse}[i%2])
+		}
+		for i := range 3 {
+			crash(&d, i, Begun, Whole("waiting"))
+		}
+		wantMatch(t, &d, true, bad)
+		wantMatch(t, &d, true, worse)
+		wantMatch(t, &d, false, Whole("waiting"))
+	})
+	t.Run("a part that ends processes in requests of all kinds", func(t *testing.T) {
+		var d Detector
+		for i := range 6 {
+			crash(&d, i, Begun, "part", Whole(fmt.Sprint(i%2)))
+		}
+		wantMatch(t, &d, true, "part", Whole("new"))
+		wantMatch(t, &d, false, Whole("0"))
+	})
+}
+
+// A response shows that a request is sound, here and at the nodes that count its cases.
+func TestWholeCompleted(t *testing.T) {
+	t.Run("cases before it", func(t *testing.T) {
+		var d Detector
+		crash(&d, 1, Begun, bad)
+		crash(&d, 2, Begun, bad)
+		if refuted := d.Completed(start, []string{bad}); len(refuted) != 2 {
+			t.Errorf("%d cases are refuted, want 2", len(refuted))
+		}
+		crash(&d, 3, Begun, bad)
+		wantMatch(t, &d, false, bad)
+	})
+	t.Run("cases of other nodes after it", func(t *testing.T) {
+		var d Detector
+		d.Completed(start, []string{bad})
+		refuted := d.Add(start, Case{Part: bad, Process: process(1), Weight: Begun})
+		if len(refuted) != 1 || refuted[0].Weight != Refuted {
+			t.Errorf("refuted cases are %v, want the one that was added", refuted)
+		}
+	})
+	t.Run("long before", func(t *testing.T) {
+		var d Detector
+		d.Completed(start.Add(-soundWholeTime), []string{bad})
+		for i := range 3 {
+			crash(&d, i, Begun, bad)
+		}
+		wantMatch(t, &d, true, bad)
+	})
+	t.Run("a part is not excused by it", func(t *testing.T) {
+		var d Detector
+		d.Completed(start, []string{bad})
+		if d.WasSound(start, "bad") || !d.WasSound(start, bad) || !d.Excuses(start, bad, Begun) || d.Excuses(start.Add(time.Hour), bad, Begun) {
+			t.Error("completion of a whole request does not count for it alone, and for a while")
+		}
+	})
+	t.Run("many do not displace parts", func(t *testing.T) {
+		var d Detector
+		d.Completed(start, []string{"part"})
+		for i := range 2 * maxCompleted {
+			d.Completed(start, []string{Whole(fmt.Sprint(i))})
+		}
+		if !d.WasSound(start, "part") {
+			t.Error("part is not known as sound any more")
+		}
+	})
+}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -22,10 +22,35 @@
 	ended bool
 }
 
+// crashParts returns what in a request may crash upstreams: the parts of its prompt, if they
+// are engines, and the request as a whole.
+func (n *Node) crashParts(r *request) []string {
+	var parts []string
+	if n.isEngine(r.service) {
+		parts = append(parts, r.PromptParts...)
+	}
+	if r.Digest != "" {
+		parts = append(parts, poison.Whole(r.Digest))
+	}
+	return parts
+}
+
+// caseWeight returns the weight of a part's case at an upstream. It did not begin to run a
+// whole request that was waiting, but what it ran ended it at the same time.
+func (n *Node) caseWeight(now time.Time, r *request, a *attempt, part string) poison.Weight {
+	switch {
+	case part == poison.Whole(r.Digest):
+		return poison.Begun
+	case !a.responding || n.poison.WasSound(now, part):
+		return poison.Waiting
+	}
+	return poison.Begun
+}
+
 // suspectParts suspects the parts of a request whose attempt broke before its response had
 // content. Until the upstream was checked, only this node counts the cases.
 func (n *Node) suspectParts(now time.Time, r *request, a *attempt, f Failure) {
-	if f != ConnectionFailed || a.started || !n.isEngine(r.service) {
+	if f != ConnectionFailed || a.started {
 		return
 	}
 	process := poison.Process{ID: a.upstream.ID, Born: a.upstream.Born}
@@ -36,18 +61,15 @@
 	if !checking {
 		check.ended = n.poison.HasCases(process)
 	}
-	weight := poison.Waiting
+	seen := poison.Waiting
 	if a.responding {
-		weight = poison.Begun
+		seen = poison.Begun
 	}
-	for _, part := range r.PromptParts {
-		if n.poison.Excuses(now, part, weight) {
+	for _, part := range n.crashParts(r) {
+		if n.poison.Excuses(now, part, seen) {
 			continue
 		}
-		c := poison.Case{Part: part, Process: process, Weight: weight}
-		if n.poison.WasSound(now, part) {
-			c.Weight = poison.Waiting
-		}
+		c := poison.Case{Part: part, Process: process, Weight: n.caseWeight(now, r, a, part)}
 		n.shareCases(n.poison.Add(now, c))
 		check.cases = append(check.cases, c)
 	}
@@ -112,12 +134,14 @@
 	}
 }
 
-// completedParts records that the parts of a completed request do not crash upstreams.
+// completedParts records that the parts of a completed request do not crash upstreams. An
+// error shows it only of the request as a whole.
 func (n *Node) completedParts(now time.Time, r *request, status int) {
-	if status != http.StatusOK || !n.isEngine(r.service) {
-		return
+	parts := n.crashParts(r)
+	if status != http.StatusOK {
+		parts = slices.DeleteFunc(parts, func(part string) bool { return part != poison.Whole(r.Digest) })
 	}
-	n.shareCases(n.poison.Completed(now, r.PromptParts))
+	n.shareCases(n.poison.Completed(now, parts))
 	n.recordPoison()
 }
 
@@ -131,14 +155,14 @@
 	var sound []*request
 	for _, r := range n.requests {
 		a := r.current
-		if a != nil && a.started && !a.sound && now.Sub(a.startedAt) >= soundAfter && n.isEngine(r.service) {
+		if a != nil && a.started && !a.sound && now.Sub(a.startedAt) >= soundAfter {
 			a.sound = true
 			sound = append(sound, r)
 		}
 	}
 	slices.SortFunc(sound, func(a, b *request) int { return cmp.Compare(a.Number, b.Number) })
 	for _, r := range sound {
-		n.shareCases(n.poison.Completed(now, r.PromptParts))
+		n.shareCases(n.poison.Completed(now, n.crashParts(r)))
 	}
 	n.recordPoison()
 }
@@ -159,16 +183,13 @@
 	n.poisonGroups = groups
 }
 
-// poisonIn returns the parts of a request for which it must be kept from engines, since
+// poisonIn returns the parts of a request for which it must be kept from upstreams, since
 // they crash them, or nil.
 func (n *Node) poisonIn(now time.Time, r *request) []string {
-	if !n.isEngine(r.service) {
-		return nil
-	}
-	return n.poison.Match(now, r.PromptParts)
+	return n.poison.Match(now, n.crashParts(r))
 }
 
-// holdsBack reports whether a request must be kept from engines, and records why.
+// holdsBack reports whether a request must be kept from upstreams, and records why.
 func (n *Node) holdsBack(now time.Time, r *request) bool {
 	group := n.poisonIn(now, r)
 	if group == nil {
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -402,7 +402,7 @@
 	ReasonInvalidRequest Reason = "request is not valid"
 	ReasonUnknownOrigin  Reason = "version that began the stream is not known"
 	ReasonLimit          Reason = "upstreams are at their limits"
-	ReasonPoison         Reason = "a part of the prompt crashes upstreams"
+	ReasonPoison         Reason = "a part of the request crashes upstreams"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -181,7 +181,7 @@
 	}
 	page, err := s.readNewest(infra.StreamCrashes)
 	if err != nil {
-		s.logger.Warn("cannot read the cases of prompt parts", "error", err.Error())
+		s.logger.Warn("cannot read the cases of requests", "error", err.Error())
 		return nil, false
 	}
 	read, _ = s.parseCases(page.Records, nil)
@@ -283,7 +283,7 @@
 	defer cancel()
 	if _, err := l.server.registry.Put(ctx, infra.StreamCrashes, records...); err != nil {
 		l.server.metrics.countCases("failed", len(records))
-		l.server.logger.Warn("cannot write cases of prompt parts", "cases", len(records), "error", err.Error())
+		l.server.logger.Warn("cannot write cases of requests", "cases", len(records), "error", err.Error())
 		return false
 	}
 	l.server.metrics.countCases("ok", len(records))
--- a/relay/crashing_request_test.go
+++ b/relay/crashing_request_test.go
@@ -51,6 +51,18 @@
 	return d, requests
 }
 
+// crashUpstreams sends a request to the nodes in turn until it has ended as many upstreams as
+// suffice to know it.
+func (d *deployment) crashUpstreams(q *stand.CrashRequest) {
+	d.t.Helper()
+	sent := 0
+	d.await("upstreams have crashed", func() bool {
+		d.askAs(d.nodes[sent%len(d.nodes)], fmt.Sprint("crashing-", sent), q.Path, withBody(q.Body))
+		sent++
+		return len(q.Crashes()) >= crashesOfRequest
+	})
+}
+
 func withBody(body string) func(*http.Request) {
 	return func(r *http.Request) { stand.SetBody(r, body) }
 }
@@ -109,10 +121,7 @@
 		t.Run(fmt.Sprintf("all restart: %v", restart), func(t *testing.T) {
 			d, requests := deployWithCrashingRequests(t, 2)
 			q := requests[0]
-			for i := range 4 {
-				d.askAs(d.nodes[i%2], fmt.Sprint("crashing-", i), q.Path, withBody(q.Body))
-				time.Sleep(100 * time.Millisecond)
-			}
+			d.crashUpstreams(q)
 			time.Sleep(time.Second)
 			if restart {
 				for _, n := range d.nodes {
@@ -138,10 +147,7 @@
 	d, requests := deployWithCrashingRequests(t, 3)
 	d.store.SetTopicUnavailable(stand.TopicCrashes)
 	q := requests[0]
-	for i := range 4 {
-		d.askAs(d.nodes[i%3], fmt.Sprint("crashing-", i), q.Path, withBody(q.Body))
-		time.Sleep(200 * time.Millisecond)
-	}
+	d.crashUpstreams(q)
 	time.Sleep(learnTime)
 	before := time.Now()
 	for i, n := range d.nodes {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -59,7 +59,7 @@
 		invalidRecords:   counter("invalid_records_total", "Records that could not be read.", "kind"),
 		crossings:        counter("stage_results_crossed_total", "Results of stages made in another zone than they are needed in.", "service"),
 		originsShared:    counter("stream_origins_shared_total", "Records of the versions that streams began at.", "result"),
-		casesWritten:     counter("crash_cases_written_total", "Cases of prompt parts at upstreams that ended, as written to the store.", "result"),
+		casesWritten:     counter("crash_cases_written_total", "Cases of parts of requests at upstreams that ended, as written to the store.", "result"),
 		originLookups:    counter("stream_origin_lookups_total", "Lookups of the versions that streams began at.", "result"),
 		callTimes:        histogram("stage_call_seconds", "Calls to workers of stages.", durationBuckets, "service", "failure"),
 		decisionTimes:    histogram("decision_seconds", "What ends with a decision.", durationBuckets, "decision", "reason"),
@@ -74,7 +74,7 @@
 		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.invalidRecords,
 		m.crossings, m.originsShared, m.originLookups, m.casesWritten, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s},
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requestCount()) }),
-		gauge("poisonous_parts", "Sets of prompt parts that requests are held back for.", func() float64 {
+		gauge("poisonous_parts", "Sets of parts of requests that requests are held back for.", func() float64 {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return float64(len(s.node.PoisonGroups()))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -214,7 +214,7 @@
 		case proxy.ForgetCases:
 			s.crashes.forget(e.Cases)
 		case proxy.PoisonChanged:
-			s.logger.Warn("parts of prompts that crash upstreams", "parts", e.Groups, "groups", len(e.Groups), "before", e.Before)
+			s.logger.Warn("parts of requests that crash upstreams", "parts", e.Groups, "groups", len(e.Groups), "before", e.Before)
 		default:
 			rest = append(rest, e)
 		}
@@ -359,7 +359,7 @@
 		reason = "state of other nodes is not known yet"
 	}
 	if reason == "" && !s.casesKnown && s.uptime() < maxCasesWait {
-		reason = "parts of prompts that crash upstreams are not known yet"
+		reason = "parts of requests that crash upstreams are not known yet"
 	}
 	s.mu.Unlock()
 	if reason != "" {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -28,7 +28,7 @@
 	// StageDone and StageFailed are the outcomes of one stage.
 	StageDone   Decision = "stage done"
 	StageFailed Decision = "stage failed"
-	// HeldBack means that the request is kept from upstreams, since a part of its prompt
+	// HeldBack means that the request is kept from upstreams, since a part of it
 	// crashes them.
 	HeldBack Decision = "held back"
 	// AnswerBegan means that the first part of an answer arrived.
