Crash plain upstreams by requests in the fault soak

Plans of the new kind Repeats have two requests, one safe and one unsafe, that end each plain upstream that runs them and come from all clients again and again, during planned work. The check is that of the rule: what reaches upstreams later than 3 s after the third end, and the share of sound requests that are served.

--- a/soak/check.go
+++ b/soak/check.go
@@ -153,7 +153,7 @@
 	switch {
 	case d.options.Kind == Silences:
 		return d.checkComplete(r)
-	case r.err == nil || r.crashesEngines() || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill):
+	case r.err == nil || r.crashesUpstreams() || d.faultDuring(r.host, r.sentAt, r.endedAt, Pause, Kill):
 		return ""
 	case d.runCount(r) == 0 && d.faultDuring(r.host, r.sentAt, r.endedAt, Terminate):
 		return ""
--- a/soak/client.go
+++ b/soak/client.go
@@ -22,7 +22,9 @@
 	path string
 	// parts are the parts of the prompt but for the last one, or nil if it has none.
 	parts []string
-	host  *host
+	// sentBody is the body of the request if it is not the usual one.
+	sentBody string
+	host     *host
 	// The client started to send the request at sentAt and had read the whole response
 	// at endedAt.
 	sentAt  time.Time
@@ -53,9 +55,10 @@
 	configVersion int
 	// deadline is the deadline of each request.
 	deadline time.Duration
-	// crashFrom is the time from which some requests have the part that crashes engines,
-	// or the zero time if none ever has it.
-	crashFrom time.Time
+	// crashFrom is the time from which some requests crash upstreams, or the zero time if
+	// none ever does. Plain ones do if plainCrashes is true, and streams otherwise.
+	crashFrom    time.Time
+	plainCrashes bool
 }
 
 // pollReady polls the readiness of the hosts, as a load balancer does, until the context
@@ -108,8 +111,8 @@
 			chosenAt = time.Now()
 		}
 		r := c.newRecord(current, c.randomPath(random))
-		if !c.crashFrom.IsZero() && isStreamPath(r.path) {
-			r.path, r.parts = randomPrompt(random, time.Now().After(c.crashFrom))
+		if !c.crashFrom.IsZero() {
+			c.addCrash(r, random)
 		}
 		r.send(transport)
 		if r.err != nil || r.status >= http.StatusInternalServerError {
@@ -119,6 +122,19 @@
 	}
 }
 
+// addCrash makes one in crashShare of the requests that may crash upstreams do so.
+func (c *clientPool) addCrash(r *record, random *rand.Rand) {
+	crashes := time.Now().After(c.crashFrom)
+	switch {
+	case !c.plainCrashes && isStreamPath(r.path):
+		r.path, r.parts = randomPrompt(random, crashes)
+	case c.plainCrashes && (r.path == stand.PathSafe || r.path == stand.PathUnsafe):
+		if draw := random.IntN(crashShare); crashes && draw == 0 {
+			r.sentBody = crashBody
+		}
+	}
+}
+
 func (c *clientPool) pickHost(random *rand.Rand) *host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,6 +189,9 @@
 		return
 	}
 	stand.SetDeadline(request, r.deadline)
+	if r.sentBody != "" {
+		stand.SetBody(request, r.sentBody)
+	}
 	if len(r.parts) > 0 {
 		stand.SetPrompt(request, append(slices.Clone(r.parts), r.id)...)
 	}
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -26,9 +26,11 @@
 
 const (
 	// toleratedCrashes is the number of crashes after which requests with the part that
-	// caused them are to be kept from engines. That takes maxQuarantineDelay at most;
-	// maxLateArrivals requests may still reach engines afterwards.
+	// caused them are to be kept from engines, and toleratedByRequest that after which one
+	// request that caused them is. That takes maxQuarantineDelay at most; maxLateArrivals
+	// requests may still reach upstreams afterwards.
 	toleratedCrashes   = 5
+	toleratedByRequest = 3
 	maxQuarantineDelay = 3 * time.Second
 	maxLateArrivals    = 3
 	// maxCrashRecovery is the time after which sound requests are to be served again, as
@@ -39,6 +41,20 @@
 	minSoundRequests = 10
 )
 
+// crashRequests returns the requests that crash upstreams in the runs of a kind.
+func (k PlanKind) crashRequests() []*stand.CrashRequest {
+	if k != Repeats {
+		return nil
+	}
+	return []*stand.CrashRequest{
+		{Path: stand.PathSafe + "x", Body: crashBody, RestartAfter: crashRestart},
+		{Path: stand.PathUnsafe + "x", Body: crashBody, RestartAfter: crashRestart},
+	}
+}
+
+// crashBody is the body of the requests that crash upstreams.
+const crashBody = "a body that crashes upstreams"
+
 // usesCrashPart reports whether the runs of a kind have a part that crashes engines.
 func (k PlanKind) usesCrashPart() bool { return k == Crashes }
 
@@ -59,23 +75,61 @@
 	return path, parts
 }
 
-// crashesEngines reports whether a request has the part that crashes engines.
-func (r *record) crashesEngines() bool { return slices.Contains(r.parts, crashPartID) }
+// crashesUpstreams reports whether a request crashes upstreams.
+func (r *record) crashesUpstreams() bool {
+	return slices.Contains(r.parts, crashPartID) || r.sentBody == crashBody
+}
 
-// begins reports whether a stream has brought an event.
+// begins reports whether the response to a request has content.
 func (r *record) begins() bool { return r.status == http.StatusOK && r.body != "" }
 
-// crashDuring reports whether an engine crashed between two times.
+// crashDuring reports whether an upstream crashed between two times.
 func (d *deployment) crashDuring(from, to time.Time) bool {
 	return slices.ContainsFunc(d.crashes(), func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
-// crashes returns the times of the crashes of engines.
+// crashes returns the times of the crashes of upstreams. Those of each request are in order.
 func (d *deployment) crashes() []time.Time {
-	if d.crashPart == nil {
+	var crashes []time.Time
+	if d.crashPart != nil {
+		crashes = d.crashPart.Crashes()
+	}
+	for _, q := range d.crashRequests {
+		crashes = append(crashes, q.Crashes()...)
+	}
+	return crashes
+}
+
+// checkCrashingRequests checks that each request that crashes upstreams is kept from them
+// after some crashes, and that other plain requests are served then.
+func (d *deployment) checkCrashingRequests() []string {
+	if len(d.crashRequests) == 0 {
 		return nil
 	}
-	return d.crashPart.Crashes()
+	all := d.crashes()
+	slices.SortFunc(all, time.Time.Compare)
+	if len(all) < toleratedByRequest {
+		return []string{fmt.Sprintf("%d upstreams crashed; the run shows nothing", len(all))}
+	}
+	var violations []string
+	// The requests may have been at the same upstreams when these crashed.
+	known := all[toleratedByRequest-1]
+	for _, q := range d.crashRequests {
+		crashes := q.Crashes()
+		if len(crashes) < toleratedByRequest {
+			continue
+		}
+		at := crashes[toleratedByRequest-1]
+		if at.After(known) {
+			known = at
+		}
+		if n := q.ArrivalsAfter(at.Add(maxQuarantineDelay)); n > maxLateArrivals {
+			violations = append(violations, fmt.Sprintf("%s reached upstreams %d times later than %s after its crash %d, of %d in all",
+				q.Path, n, maxQuarantineDelay, toleratedByRequest, len(crashes)))
+		}
+	}
+	isPlain := func(r *record) bool { return !isStreamPath(r.path) }
+	return append(violations, d.clients.checkSound(isPlain, d.clients.crashFrom, known.Add(maxCrashRecovery))...)
 }
 
 // checkCrashes checks that requests with the part that crashes engines are kept from them
@@ -84,7 +138,7 @@
 	if d.crashPart == nil {
 		return nil
 	}
-	crashes := d.crashes()
+	crashes := d.crashPart.Crashes()
 	if len(crashes) == 0 {
 		return []string{"no engine crashed; the run shows nothing"}
 	}
@@ -97,16 +151,17 @@
 		violations = append(violations, fmt.Sprintf("%d requests with the part that crashes engines reached some later than %s after crash %d, of %d in all",
 			n, maxQuarantineDelay, toleratedCrashes, len(crashes)))
 	}
-	return append(violations, d.clients.checkSoundStreams(d.clients.crashFrom, known.Add(maxCrashRecovery))...)
+	isStream := func(r *record) bool { return isStreamPath(r.path) }
+	return append(violations, d.clients.checkSound(isStream, d.clients.crashFrom, known.Add(maxCrashRecovery))...)
 }
 
-// checkSoundStreams checks that the share of sound streams that begin is, after a time, at
-// least half of that before another.
-func (c *clientPool) checkSoundStreams(before, after time.Time) []string {
+// checkSound checks that the share of some sound requests that are answered is, after a time,
+// at least half of that before another.
+func (c *clientPool) checkSound(counts func(*record) bool, before, after time.Time) []string {
 	var early, late shareCounter
 	for _, r := range c.records {
 		switch {
-		case !isStreamPath(r.path) || r.crashesEngines():
+		case !counts(r) || r.crashesUpstreams():
 		case r.endedAt.Before(before):
 			early.add(r.begins())
 		case r.sentAt.After(after):
@@ -114,10 +169,10 @@
 		}
 	}
 	if early.total < minSoundRequests || late.total < minSoundRequests {
-		return []string{fmt.Sprintf("%d and %d sound streams before the crashes and after them; the run shows nothing", early.total, late.total)}
+		return []string{fmt.Sprintf("%d and %d sound requests before the crashes and after them; the run shows nothing", early.total, late.total)}
 	}
 	if late.share() < minSoundShare*early.share() {
-		return []string{fmt.Sprintf("%d of %d sound streams begin after the crashes, %d of %d before them", late.met, late.total, early.met, early.total)}
+		return []string{fmt.Sprintf("%d of %d sound requests are answered after the crashes, %d of %d before them", late.met, late.total, early.met, early.total)}
 	}
 	return nil
 }
--- a/soak/kind.go
+++ b/soak/kind.go
@@ -21,6 +21,9 @@
 	// Crashes has planned work, and a part of prompts that crashes each engine that begins
 	// to answer a request with it.
 	Crashes PlanKind = "crashes"
+	// Repeats has planned work, and requests that crash each plain upstream that runs them and
+	// come again and again.
+	Repeats PlanKind = "repeats"
 	// Limits has upstreams that name limits, change them and drop them, while hosts end,
 	// start, freeze and are cut off from each other.
 	Limits PlanKind = "limits"
@@ -69,10 +72,25 @@
 	},
 }
 
+// repeatSurroundings have more plain upstreams, so that some are left once requests that crash
+// them are kept away.
+var repeatSurroundings = surroundings{
+	deadline: 3 * time.Second, shutdownGrace: 6 * time.Second, streamEvents: 12,
+	upstreamKinds: []upstreamKind{
+		{stand.ServiceDesk, stand.Plain, 4, 6, 20 * time.Millisecond},
+		{stand.ServiceEngine, stand.Engine, 1, 32, 15 * time.Millisecond},
+		{stand.ServiceEncode, stand.Stage, 1, 1, 20 * time.Millisecond},
+		{stand.ServiceRank, stand.Stage, 1, 1, 20 * time.Millisecond},
+	},
+}
+
 // surroundings returns the parameters of a run.
 func (k PlanKind) surroundings() surroundings {
-	if k == Silences {
+	switch k {
+	case Silences:
 		return silentSurroundings
+	case Repeats:
+		return repeatSurroundings
 	}
 	return standardSurroundings
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -108,7 +108,7 @@
 		general.actions = plannedActions
 		silences := seriesKind{[]Action{UpstreamSilence}, maxSilentUpstreams, minSilence, maxSilence}
 		plan = silences.steps(random, length)
-	case Crashes:
+	case Crashes, Repeats:
 		general.actions = plannedActions
 	case Limits:
 		general.actions = slices.Concat(plannedActions, limitActions)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,7 +52,7 @@
 	// FailedEarly is the number of requests that got the status 502 or 504 before their
 	// deadlines.
 	FailedEarly int
-	// Crashes is the number of crashes of engines.
+	// Crashes is the number of crashes of upstreams.
 	Crashes int
 	// Violations describe the guarantees that were not kept.
 	Violations []string
@@ -70,6 +70,8 @@
 	clients   *clientPool
 	// crashPart is the part of prompts that crashes engines, or nil.
 	crashPart *stand.CrashPart
+	// crashRequests are the requests that crash plain upstreams.
+	crashRequests []*stand.CrashRequest
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -112,11 +114,12 @@
 	if o.Kind.usesCrashPart() {
 		d.crashPart = &stand.CrashPart{ID: crashPartID, RestartAfter: crashRestart}
 	}
+	d.crashRequests = o.Kind.crashRequests()
 	if err := d.start(); err != nil {
 		return Report{}, fmt.Errorf("start the deployment: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	if d.crashPart != nil {
+	if d.crashPart != nil || len(d.crashRequests) > 0 {
 		d.clients.crashFrom = time.Now().Add(crashDelay)
 	}
 	var clients sync.WaitGroup
@@ -142,7 +145,7 @@
 	for _, h := range d.hosts {
 		h.stop()
 	}
-	violations = slices.Concat(violations, d.check(), d.checkCrashes(), d.checkLimits())
+	violations = slices.Concat(violations, d.check(), d.checkCrashes(), d.checkCrashingRequests(), d.checkLimits())
 	if err := d.writeSteps(); err != nil {
 		return Report{}, err
 	}
@@ -187,7 +190,7 @@
 	d.storeAddr = l.Addr().String()
 	d.server = &http.Server{Handler: d.store}
 	go func() { _ = d.server.Serve(l) }() // Serve returns when the deployment is closed.
-	d.clients = &clientPool{deadline: d.deadline}
+	d.clients = &clientPool{deadline: d.deadline, plainCrashes: len(d.crashRequests) > 0}
 	d.publish()
 	for _, zone := range []string{"a", "b"} {
 		for _, kind := range d.upstreamKinds {
@@ -242,6 +245,9 @@
 	if k.workerKind == stand.Engine {
 		u.worker.CrashPart = d.crashPart
 	}
+	if k.workerKind == stand.Plain {
+		u.worker.CrashRequests = d.crashRequests
+	}
 	u.worker.Advertise = func(addr string) (string, error) {
 		if u.proxy != nil {
 			u.proxy.SetTarget(addr) // The worker has started again.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,6 +62,12 @@
 	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 12 * time.Second, Kind: Crashes, Clients: 12})
 }
 
+// Requests that crash each upstream that runs them, and come again, bring down one upstream
+// after the other.
+func TestSoakCrashingRequest(t *testing.T) {
+	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 12 * time.Second, Kind: Repeats, Clients: 12})
+}
+
 // Upstreams that name limits get what each host alone would send, while hosts come and go.
 func TestSoakLimits(t *testing.T) {
 	runSeeds(t, Options{Binary: buildBinary(t), Seed: 1, Length: 8 * time.Second, Kind: Limits, Clients: 16})
@@ -218,7 +224,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := &clientPool{records: test.records}
-			if violations := c.checkSoundStreams(before, after); (len(violations) == 0) != test.ok {
+			if violations := c.checkSound(func(r *record) bool { return isStreamPath(r.path) }, before, after); (len(violations) == 0) != test.ok {
 				t.Errorf("the check finds %q", violations)
 			}
 		})
