Show streams that are joined from two versions after all hosts have ended

It happens here: an engine service with one version; eight streams are broken by the end of the only host; before one starts again, all engines are replaced by ones of another version. All eight take-ups are answered 200 and joined (8 of 8).

--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -251,3 +251,34 @@
 		}
 	})
 }
+
+// All hosts end at once, and only engines of another version are left when one starts again:
+// its log is empty and it sees one version, but the streams began at the other.
+func TestStreamJoinedAfterAllHostsEnded(t *testing.T) {
+	const streams = 8
+	version := versionA
+	d := deploy(t, 1, func(w *stand.Worker) {
+		if w.Kind == stand.Engine {
+			w.Version, w.Delay = version, 150*time.Millisecond
+		}
+	})
+	broken := d.breakStreams(streams)
+	version = versionB
+	for _, zone := range []string{"a", "b"} {
+		d.workers["engine-"+zone].Crash()
+		d.store.RemoveEntry("engine-" + zone)
+		d.start(&stand.Worker{ID: "engine-2" + zone, Service: stand.ServiceEngine, Zone: zone, Kind: stand.Engine, Slots: 16, Events: 6})
+	}
+	n := d.addNode("late")
+	d.await("the new node is ready", func() bool { return d.isReady(n) })
+	var resumed sync.WaitGroup
+	for _, s := range broken {
+		resumed.Go(func() {
+			r := d.resume(n, s)
+			wantStatus(t, r, http.StatusServiceUnavailable)
+			wantOneVersion(t, s.body+r.body)
+			d.wantRuns(r.id, stand.ServiceEngine, 0, 0)
+		})
+	}
+	resumed.Wait()
+}
