Take up no stream that began before all hosts ended without proof of its version

Cause: that nothing was recorded was taken as proof that there was nothing. While a service has one version the log has nothing of it; a host that had just started read the empty log, saw one version in service and called it the only one.

Nodes that have watched a service with one version for longer than streams live say so in the log, each 6 s and two of them at a time; a young node takes its only version in sight for that of a stream only if the log says the same. A statement whose append failed is not repeated, as it may no longer hold when the log is back.

TestStreamRefusedAfterAllHostsEnded: with one version all the time the streams go on.

Price: clients that resume within the first 26 s of the whole fleet's life are refused with 503, as nothing can be known of their streams.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -215,5 +215,20 @@
 // Service returns a service by its name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ResumableServices returns the services whose streams may be resumed, sorted.
+func (t *Table) ResumableServices() []string {
+	var services []string
+	for _, r := range t.config.Routes {
+		if r.Kind != Stream || !r.Resumable {
+			continue
+		}
+		for _, target := range r.Targets {
+			services = append(services, target.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // Services returns all services.
 func (t *Table) Services() []Service { return t.config.Services }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -111,6 +111,28 @@
 		v.Note(start, Record{ID: "c", Service: "s", Version: "v1"})
 		wantRecent(t, &v, start, "v1", "v2")
 	})
+	t.Run("settled", func(t *testing.T) {
+		var v Versions
+		want := func(want bool) {
+			t.Helper()
+			if got := v.Settled("s"); got != want {
+				t.Errorf("versions are settled: %v, want %v", got, want)
+			}
+		}
+		want(false)
+		v.Note(start, Record{ID: "a", Service: "s", Version: "v1"})
+		want(false)
+		v.Note(start, Record{Service: "s", Version: "v1"})
+		want(true)
+		v.Note(start, Record{ID: "b", Service: "s", Version: "v1"})
+		want(true)
+		v.Note(start, Record{ID: "c", Service: "s", Version: "v2"})
+		want(false)
+		v.Note(start, Record{ID: "d", Service: "s", Version: "v1"})
+		want(false)
+		v.Note(start, Record{Service: "s", Version: "v2"})
+		want(true)
+	})
 	t.Run("watched since the first upstreams", func(t *testing.T) {
 		var v Versions
 		v.Observe(start, nil)
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -71,6 +71,9 @@
 		// the service that recent records name.
 		Complete bool
 		Versions []string
+		// Settled is true if the records say that the service has had only one version for
+		// longer than streams live.
+		Settled bool
 		// ViewAge is the time since the node last read the upstreams.
 		ViewAge time.Duration
 	}
@@ -179,6 +182,9 @@
 	// CasesForgotten those that another node has forgotten.
 	CasesRead      struct{ Cases []poison.Case }
 	CasesForgotten struct{ Cases []poison.Case }
+	// SettleVersions lets the node record which services have had only one version for
+	// longer than streams live. ViewAge is the time since it last read the upstreams.
+	SettleVersions struct{ ViewAge time.Duration }
 	// CasesTick lets the node note the parts of responses that go on, and forget parts that
 	// were not seen for a long time.
 	CasesTick struct{}
@@ -213,6 +219,7 @@
 func (UpstreamChecked) ProxyEvent()     {}
 func (CasesRead) ProxyEvent()           {}
 func (CasesForgotten) ProxyEvent()      {}
+func (SettleVersions) ProxyEvent()      {}
 func (CasesTick) ProxyEvent()           {}
 func (NodeCount) ProxyEvent()           {}
 func (Stop) ProxyEvent()                {}
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -79,6 +79,19 @@
 	})
 }
 
+// settleVersions records the services that have had one version for longer than streams live,
+// for nodes that start after all others have ended.
+func (n *Node) settleVersions(now time.Time, e SettleVersions) {
+	if n.table == nil || !n.watchesVersions(now, e.ViewAge) {
+		return
+	}
+	for _, service := range n.table.ResumableServices() {
+		if versions := n.versions.Recent(now, service); len(versions) == 1 {
+			n.emit(RecordOrigin{Record: origin.Record{Service: service, Version: versions[0]}, Share: true})
+		}
+	}
+}
+
 func (n *Node) severalVersions(now time.Time, service string) bool {
 	return len(n.versions.Recent(now, service)) > 1
 }
--- a/proxy/origin_test.go
+++ b/proxy/origin_test.go
@@ -257,6 +257,44 @@
 	})
 }
 
+// Nodes that start after all others have ended know only from records that a service has had
+// one version. A node says so only if it has seen that for long enough.
+func TestSettledVersions(t *testing.T) {
+	wantSettled := func(t *testing.T, h *harness, viewAge time.Duration, want ...string) {
+		t.Helper()
+		h.step(SettleVersions{ViewAge: viewAge})
+		var got []string
+		for _, e := range h.effects {
+			if e, ok := e.(RecordOrigin); ok && e.Share && e.Record.Settles() && e.Record.Service == "engine" {
+				got = append(got, e.Record.Version)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("versions %q are recorded, want %q", got, want)
+		}
+	}
+	t.Run("new node", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.now = h.now.Add(origin.Window - 1)
+		wantSettled(t, h, 0)
+		h.now = h.now.Add(1)
+		wantSettled(t, h, 0, "v1")
+	})
+	t.Run("old view", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.now = h.now.Add(origin.Window)
+		wantSettled(t, h, 2*maxViewAge)
+	})
+	t.Run("several versions", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.now = h.now.Add(origin.Window)
+		h.registerEngines("v2")
+		wantSettled(t, h, 0)
+		h.now = h.now.Add(origin.Window)
+		wantSettled(t, h, 0, "v2")
+	})
+}
+
 func wantNoRecord(t *testing.T, h *harness) {
 	t.Helper()
 	for _, e := range h.effects {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -136,6 +136,8 @@
 		n.casesRead(now, e.Cases)
 	case CasesForgotten:
 		n.casesForgotten(now, e.Cases)
+	case SettleVersions:
+		n.settleVersions(now, e)
 	case CasesTick:
 		n.proveParts(now)
 		n.expireCases(now)
--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -31,12 +31,17 @@
 // with which other nodes have begun streams.
 const maxViewAge = 3 * time.Second
 
+// watchesVersions reports whether the node has seen the versions of all streams that clients
+// may still resume, given the time since it last read the upstreams.
+func (n *Node) watchesVersions(now time.Time, viewAge time.Duration) bool {
+	return n.versions.Watched(now) >= origin.Window && viewAge <= maxViewAge
+}
+
 // onlyVersion returns the version of a service if all streams that clients may still resume
 // began with it. Versions that were removed before the node started are only in the records
-// of all nodes.
+// of all nodes. Records that say nothing prove nothing: all nodes may have ended since.
 func (n *Node) onlyVersion(now time.Time, service string, found OriginFound) (string, bool) {
-	ownView := n.versions.Watched(now) >= origin.Window && found.ViewAge <= maxViewAge
-	if !ownView && !found.Complete {
+	if !n.watchesVersions(now, found.ViewAge) && !(found.Complete && found.Settled) {
 		return "", false
 	}
 	versions := n.versionsOf(now, service, found)
@@ -71,7 +76,7 @@
 	}
 	n.recordSince(now, r.arrived, r, trace.StreamResumed, ReasonUnknownOrigin, "first", r.Resumes, "last_event", r.LastEventID,
 		"service", r.service, "recorded_service", e.Record.Service, "versions", strings.Join(n.versionsOf(now, r.service, e), " "),
-		"records_read", e.Complete, "watched_ms", n.versions.Watched(now).Milliseconds(),
+		"records_read", e.Complete, "settled", e.Settled, "watched_ms", n.versions.Watched(now).Milliseconds(),
 		"view_age_ms", e.ViewAge.Milliseconds())
 	n.reply(now, r, http.StatusServiceUnavailable, ReasonUnknownOrigin, upstreamRetryAfter)
 }
--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -117,12 +117,30 @@
 		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v2"}})
 		h.wantRefused(ReasonUnknownOrigin)
 	})
-	t.Run("new node, no records of other versions", func(t *testing.T) {
+	t.Run("new node, records say that there is one version", func(t *testing.T) {
 		h := newHarnessWith(t, "v1")
 		h.resume()
-		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v1"}})
+		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v1"}, Settled: true})
 		h.wantSent("v1")
 	})
+	t.Run("new node, records say that there is one other version", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.resume()
+		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v0"}, Settled: true})
+		h.wantRefused(ReasonUnknownOrigin)
+	})
+	t.Run("new node, records of some streams", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.resume()
+		h.step(OriginFound{Number: h.number, Complete: true, Versions: []string{"v1"}})
+		h.wantRefused(ReasonUnknownOrigin)
+	})
+	t.Run("new node, no records", func(t *testing.T) {
+		h := newHarnessWith(t, "v1")
+		h.resume()
+		h.step(OriginFound{Number: h.number, Complete: true})
+		h.wantRefused(ReasonUnknownOrigin)
+	})
 	t.Run("new node, records of another version", func(t *testing.T) {
 		h := newHarnessWith(t, "v1")
 		h.resume()
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"teaselplank/events"
+	"teaselplank/origin"
 	"teaselplank/platform/stand"
 )
 
@@ -242,9 +243,17 @@
 			t.Error("refusal names no time to retry")
 		}
 	})
-	t.Run("one version", func(t *testing.T) {
+	t.Run("one version, nothing recorded", func(t *testing.T) {
 		d := deploy(t, 1)
 		r := resume(d)
+		wantStatus(t, r, http.StatusServiceUnavailable)
+		d.wantRuns(r.id, stand.ServiceEngine, 0, 0)
+	})
+	t.Run("one version, as recorded", func(t *testing.T) {
+		d := deploy(t, 1)
+		d.nodes[0].server.origins.Record(origin.Record{Service: stand.ServiceEngine, Version: stand.DefaultVersion}, true)
+		time.Sleep(time.Second)
+		r := resume(d)
 		wantStatus(t, r, http.StatusOK)
 		if want := allEvents[strings.Index(allEvents, "id: 2"):]; r.body != want {
 			t.Errorf("events are %q, want those after the first two", r.body)
@@ -282,3 +291,23 @@
 	}
 	resumed.Wait()
 }
+
+// A stream must go on after all hosts have ended if its service has had one version all the
+// time, which the hosts then must have recorded.
+func TestStreamRefusedAfterAllHostsEnded(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, func(w *stand.Worker) {
+		if w.Kind == stand.Engine {
+			w.Version, w.Delay = versionA, 150*time.Millisecond
+		}
+	})
+	time.Sleep(origin.Window + settleInterval + time.Second)
+	broken := d.breakStreams(4)
+	n := d.addNode("late")
+	d.await("the new node is ready", func() bool { return d.isReady(n) })
+	for _, s := range broken {
+		r := d.resume(n, s)
+		wantStatus(t, r, http.StatusOK)
+		wantWholeStream(t, s.body+r.body)
+	}
+}
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"teaselplank/infra"
 	"teaselplank/proxy"
 )
@@ -27,6 +29,37 @@
 // CountLookup implements share.Host.
 func (h originHost) CountLookup(result string) { h.server.metrics.countLookup(result) }
 
+const (
+	// settleInterval is how often nodes record which services have only one version. It is
+	// shorter than the store keeps records.
+	settleInterval = 6 * time.Second
+	// settleWriters is the number of nodes that do so. One of them may just end.
+	settleWriters = 2
+)
+
+// settleLoop lets nodes that start later know that services have only one version.
+func (s *Server) settleLoop() {
+	for s.sleep(settleInterval) {
+		if s.settlesVersions() {
+			s.step(proxy.SettleVersions{ViewAge: s.upstreamsAge()})
+		}
+	}
+}
+
+// settlesVersions reports whether this node is one of those that record the versions of
+// services.
+func (s *Server) settlesVersions() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own, before := xxhash.Sum64String(s.self.ID), 0
+	for _, n := range s.group.Live() {
+		if xxhash.Sum64String(n.ID) < own {
+			before++
+		}
+	}
+	return before < settleWriters
+}
+
 // findOrigin looks for the version that began the stream that the client resumes.
 func (x *exchange) findOrigin(e proxy.FindOrigin) {
 	ctx := x.context
--- a/share/lookup.go
+++ b/share/lookup.go
@@ -49,7 +49,7 @@
 		return found
 	}
 	o.host.CountLookup(lookupNone)
-	found.Versions = o.sharedVersions(e.Service)
+	found.Versions, found.Settled = o.sharedVersions(e.Service)
 	return found
 }
 
@@ -64,10 +64,10 @@
 	return proxy.OriginFound{Number: e.Number, Source: source, Record: r, Age: age}, true
 }
 
-func (o *Origins) sharedVersions(service string) []string {
+func (o *Origins) sharedVersions(service string) (versions []string, settled bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.versions.Recent(o.host.Now(), service)
+	return o.versions.Recent(o.host.Now(), service), o.versions.Settled(service)
 }
 
 var (
--- a/share/origins.go
+++ b/share/origins.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,9 +171,11 @@
 }
 
 // putBack makes the records of an append that failed the first of the next one. Some of
-// them may be in the log already; the number of the attempt tells which record holds.
+// them may be in the log already; the number of the attempt tells which record holds. A
+// statement about a service may no longer hold when the log is back, and is made again.
 func (o *Origins) putBack(batch []origin.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	batch = slices.DeleteFunc(batch, origin.Record.Settles)
 	o.pending = append(batch, o.pending...)
 }
