Fill the calls of stage workers that name limits

All four workers of a stage had limits of 1 call a second or less; calls took 2 pieces of 8, as a call is split among the idle workers of a zone and pieces of other zones do not count there. The forecast of the chain counts full calls and admitted the streams.

A worker with a limit gets as many pieces as fit: its calls are few, so that splitting one wins nothing. TestScarceCallsAreFull: 4 calls before, 2 full ones now.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -183,8 +183,11 @@
 
 // maxPieces returns how many pieces the worker should take: as many as fit into a call,
 // or a share of them if other workers in its zone are idle, since a call of fewer pieces
-// ends sooner.
+// ends sooner. The calls of a worker with a limit are too few to be split.
 func (p *pool) maxPieces(now time.Time, w *worker) int {
+	if w.limit.Limited() {
+		return p.batch.MaxPieces
+	}
 	idleSlots := 0
 	for _, other := range p.workers {
 		if other.idle(now) && other.upstream.Zone == w.upstream.Zone {
--- a/batch/limit_test.go
+++ b/batch/limit_test.go
@@ -77,3 +77,19 @@
 		}
 	})
 }
+
+// The calls of workers with limits are few, so that each must take all pieces that fit, also
+// of other zones.
+func TestScarceCallsAreFull(t *testing.T) {
+	h := newHarness(t, "a1", "a2")
+	for _, w := range []string{"a1", "a2"} {
+		h.step(Limited{Worker: w, Limited: true, Rate: 1})
+	}
+	for i := range 4 {
+		h.submit(fmt.Sprint(i), "b", 5, 4*time.Second)
+	}
+	h.run(2 * time.Second)
+	if len(h.sent) != 2 || len(h.sent[0].Items) != testBatch.MaxPieces || len(h.sent[1].Items) != testBatch.MaxPieces {
+		t.Errorf("%d calls are sent, want 2 with %d pieces each", len(h.sent), testBatch.MaxPieces)
+	}
+}
