Send no request that its deadline would cut

Found by the soak of limits: a stream was sent 38 ms before its deadline and cut there, though its responses take 180 ms and more. It costs its upstream as much as a whole one, and what cannot be served is to be refused at once, with "not run".

A request that no upstream has run yet is refused if less time is left than the mean of its route's responses less four mean deviations. Routes whose responses vary much have no such bound, nor have those without a known response. TestSentTooLateForItsResponse fails before.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -92,7 +92,7 @@
 		n.fail(now, r, ReasonNoUpstream, upstreamRetryAfter)
 		return
 	}
-	if r.deadline.Sub(now) < minTimeLeft {
+	if r.deadline.Sub(now) < n.minResponseTime(r) {
 		n.endLate(now, r)
 		return
 	}
@@ -136,6 +136,15 @@
 	n.emit(n.sendEffect(now, r))
 }
 
+// minResponseTime returns the time before its deadline at which a request is still sent. A
+// response that is cut by the deadline costs its upstream as much as a whole one.
+func (n *Node) minResponseTime(r *request) time.Duration {
+	if !r.isUntouched() {
+		return minTimeLeft
+	}
+	return max(minTimeLeft, n.responseTimes.lowerBound(r))
+}
+
 // isUntouched reports whether no upstream may have executed the request, so that its
 // client may send it again.
 func (r *request) isUntouched() bool {
--- a/proxy/estimate.go
+++ b/proxy/estimate.go
@@ -38,6 +38,11 @@
 // upperBound returns a duration that few are longer than.
 func (e durationEstimate) upperBound() time.Duration { return e.mean + boundDeviations*e.deviation }
 
+// lowerBound returns a duration that few are shorter than.
+func (e durationEstimate) lowerBound() time.Duration {
+	return max(e.mean-boundDeviations*e.deviation, 0)
+}
+
 // durationsByRoute estimates a duration by the name of the route.
 type durationsByRoute map[string]durationEstimate
 
@@ -57,6 +62,10 @@
 	return r.route.Timeout
 }
 
+// lowerBound returns a duration that few requests of the route fall below, or 0 if no duration
+// is known.
+func (t durationsByRoute) lowerBound(r *request) time.Duration { return t[r.route.Name].lowerBound() }
+
 // stageTime estimates how long a stage takes once its inputs are available. It assumes
 // half-full calls.
 func (n *Node) stageTime(r *request, stage int) time.Duration {
--- a/proxy/limit_test.go
+++ b/proxy/limit_test.go
@@ -113,3 +113,23 @@
 		}
 	}
 }
+
+// A request that needs longer than the time that is left must not be sent.
+func TestSentTooLateForItsResponse(t *testing.T) {
+	h := newHarness(t)
+	for range 20 {
+		h.arrive("/safe/")
+		h.respond(1, http.StatusOK, false)
+		h.now = h.now.Add(200 * time.Millisecond)
+		h.step(Finished{Number: h.number, Attempt: 1, Status: http.StatusOK})
+	}
+	for left, sent := range map[time.Duration]bool{100 * time.Millisecond: false, 300 * time.Millisecond: true} {
+		h.number++
+		h.step(RequestArrived{Request{Number: h.number, ID: "id", Host: "h", Path: "/safe/", APIKey: "key", Timeout: left}})
+		if sent {
+			find[Send](h)
+			continue
+		}
+		wantReply(t, h, http.StatusServiceUnavailable, ReasonTimeout)
+	}
+}
