Move the cases of crashes out of relay, and write records in one place

Leftovers: relay had 15 files around one Server, and the logic that writes records to a store that may be away (a bounded queue, one writer, batches, a pause after failures) stood twice, in relay's log of cases and in share.

Package outbox has that logic as a generic Box; package cases reads, writes and forgets cases and shows at its door what it needs of its node (cases.Host); share uses outbox. If too many cases wait, the oldest are dropped now, as share does; the newest were.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -65,6 +65,30 @@
 	return group.Wait
 }
 
+// A tally counts how many requests are served. The zero value has counted none.
+type tally struct {
+	mu           sync.Mutex
+	sent, served int
+}
+
+func (c *tally) add(r result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	if r.err == nil && r.status == http.StatusOK {
+		c.served++
+	}
+}
+
+// wantServed checks that a share of the requests is served.
+func (c *tally) wantServed(t *testing.T, share float64) {
+	t.Helper()
+	t.Logf("%d of %d sound requests are served", c.served, c.sent)
+	if c.sent == 0 || float64(c.served) < share*float64(c.sent) {
+		t.Errorf("%d of %d sound requests are served, want a share of %v at least", c.served, c.sent, share)
+	}
+}
+
 // wantPartLearned checks that the nodes kept a part from upstreams once they could know it.
 func wantPartLearned(t *testing.T, part *stand.CrashPart) {
 	t.Helper()
@@ -91,19 +115,13 @@
 	started := time.Now()
 	wait := d.sendCrashing(part, length)
 	var group sync.WaitGroup
-	var mu sync.Mutex
-	sent, served := 0, 0
+	var last tally
 	for i := range int(length / interval) {
 		n, sentAt := d.nodes[i%len(d.nodes)], time.Since(started)
 		group.Go(func() {
 			r := d.askPrompt(n, fmt.Sprint("sound-", i), stand.PathOnce, fmt.Sprint("good-", i%20))
-			mu.Lock()
-			defer mu.Unlock()
 			if sentAt > length-lastPart {
-				sent++
-				if r.err == nil && r.status == http.StatusOK {
-					served++
-				}
+				last.add(r)
 			}
 		})
 		time.Sleep(interval)
@@ -111,9 +129,7 @@
 	group.Wait()
 	wait()
 	wantPartLearned(t, part)
-	if served < sent*9/10 {
-		t.Errorf("%d of the last %d sound requests are served, want nine tenths at least", served, sent)
-	}
+	last.wantServed(t, 0.9)
 }
 
 // What the nodes have learned must hold for nodes that start later, also if no other is left.
@@ -191,16 +207,16 @@
 	d, _ := deployWithCrashes(t, nodes)
 	s := d.nodes[0].server
 	refuted := poison.Case{Part: "sound", Process: poison.Process{ID: "refuted"}, Weight: poison.Begun}
-	s.crashes.share([]poison.Case{refuted})
+	s.crashes.Share([]poison.Case{refuted})
 	d.await("the first case is written", d.nodes[0].hasWrittenCases)
 	restore := d.store.Save()
 	refuted.Weight = poison.Refuted
-	s.crashes.share([]poison.Case{refuted})
+	s.crashes.Share([]poison.Case{refuted})
 	for i := range lost {
-		s.crashes.share([]poison.Case{{Part: fmt.Sprint("part", i), Process: poison.Process{ID: "u"}, Weight: poison.Begun}})
+		s.crashes.Share([]poison.Case{{Part: fmt.Sprint("part", i), Process: poison.Process{ID: "u"}, Weight: poison.Begun}})
 	}
 	d.await("all cases are known", func() bool {
-		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) <= lost })
+		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(caseHost{n.server}.KnownCases()) <= lost })
 	})
 	restore()
 	_, before := d.store.Values(stand.TopicCrashes)
@@ -224,12 +240,12 @@
 	for i := range count {
 		cases = append(cases, poison.Case{Part: "bad", Process: poison.Process{ID: fmt.Sprint("u", i)}, Weight: poison.Begun})
 	}
-	d.nodes[0].server.crashes.share(cases)
+	d.nodes[0].server.crashes.Share(cases)
 	d.await("all cases are known", func() bool {
-		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(n.server.knownCases()) < count })
+		return !slices.ContainsFunc(d.nodes, func(n *testNode) bool { return len(caseHost{n.server}.KnownCases()) < count })
 	})
 	_, before := d.store.Values(stand.TopicCrashes)
-	d.nodes[0].server.crashes.forget(cases)
+	d.nodes[0].server.crashes.Forget(cases)
 	d.await("the cases are removed", func() bool {
 		_, appended := d.store.Values(stand.TopicCrashes)
 		return appended >= before+count
@@ -303,9 +319,7 @@
 
 // hasWrittenCases reports whether no case waits to be written to the store.
 func (n *testNode) hasWrittenCases() bool {
-	n.server.crashes.mu.Lock()
-	defer n.server.crashes.mu.Unlock()
-	return !n.server.crashes.writing
+	return n.server.crashes.Written()
 }
 
 // An upstream that only breaks a connection must not be taken for one that has ended, and
--- a/relay/crashing_request_test.go
+++ b/relay/crashing_request_test.go
@@ -79,8 +79,7 @@
 	d, requests := deployWithCrashingRequests(t, 3)
 	started := time.Now()
 	var group sync.WaitGroup
-	var mu sync.Mutex
-	sent, served := 0, 0
+	var last tally
 	for i := range int(length / interval) {
 		for j, n := range d.nodes {
 			for k, q := range requests {
@@ -91,13 +90,8 @@
 				path := []string{stand.PathSafe, stand.PathSafe + "sound/"}[k]
 				group.Go(func() {
 					r := d.askAs(n, fmt.Sprint("sound-", i, "-", j, "-", k), path, change)
-					mu.Lock()
-					defer mu.Unlock()
 					if sentAt > length-lastPart {
-						sent++
-						if r.err == nil && r.status == http.StatusOK {
-							served++
-						}
+						last.add(r)
 					}
 				})
 			}
@@ -108,10 +102,7 @@
 	for _, q := range requests {
 		wantRequestLearned(t, q)
 	}
-	t.Logf("%d of the last %d sound requests are served", served, sent)
-	if served < sent*19/20 {
-		t.Errorf("%d of the last %d sound requests are served, want nineteen of twenty at least", served, sent)
-	}
+	last.wantServed(t, 0.95)
 }
 
 // What the nodes have learned of a request must hold for nodes that start later, also if no
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -71,15 +71,11 @@
 // wantServed checks that nearly all requests are served.
 func wantServed(t *testing.T, results []result) {
 	t.Helper()
-	failed := 0
+	var all tally
 	for _, r := range results {
-		if r.err != nil || r.status != http.StatusOK {
-			failed++
-		}
-	}
-	if failed > len(results)/50 {
-		t.Errorf("%d of %d requests are not served, want one in fifty at most", failed, len(results))
+		all.add(r)
 	}
+	all.wantServed(t, 0.98)
 }
 
 // An upstream that names a limit must get no more than that from all nodes together, and the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"teaselplank/batch"
+	"teaselplank/cases"
 	"teaselplank/conf"
 	"teaselplank/conns"
 	"teaselplank/fleet"
@@ -120,7 +121,7 @@
 	bodies   conns.BodyPool
 	releases releaseQueue
 	origins  *share.Origins
-	crashes  *crashLog
+	crashes  *cases.Log
 
 	// restored gets a value when the store was restored.
 	restored chan struct{}
@@ -170,7 +171,7 @@
 	s.owner = newOwner(s)
 	s.metrics = newMetrics(s)
 	s.origins = share.New(ctx, originHost{s}, o.Origins, s.logger)
-	s.crashes = &crashLog{server: s}
+	s.crashes = cases.New(caseHost{s}, s.logger)
 	context.AfterFunc(ctx, func() { s.owner.step(batch.Close{}) })
 	return s, nil
 }
@@ -210,9 +211,9 @@
 		case proxy.CheckUpstream:
 			go s.checkUpstream(e.Upstream)
 		case proxy.ShareCases:
-			s.crashes.share(e.Cases)
+			s.crashes.Share(e.Cases)
 		case proxy.ForgetCases:
-			s.crashes.forget(e.Cases)
+			s.crashes.Forget(e.Cases)
 		case proxy.PoisonChanged:
 			s.logger.Warn("parts of requests that crash upstreams", "parts", e.Groups, "groups", len(e.Groups), "before", e.Before)
 		default:
--- a/share/origins.go
+++ b/share/origins.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
 	"teaselplank/infra"
 	"teaselplank/origin"
+	"teaselplank/outbox"
 )
 
 const (
@@ -54,16 +54,14 @@
 	logger  *slog.Logger
 	// log is nil if the versions are not shared.
 	log infra.OriginLog
+	// pending holds the records that are not yet in the log.
+	pending *outbox.Box[origin.Record]
 
 	// mu guards the fields below. No call of the host or the log that may block is made
 	// under it.
 	mu sync.Mutex
 	// own holds the records of the streams that this node has sent.
 	own origin.Memory
-	// pending holds the records that are not yet in the log. sharing is true while a
-	// goroutine appends them: only one does, so that they are appended in order.
-	pending []origin.Record
-	sharing bool
 	// shared holds the records of other nodes, and versions the versions that they name
 	// by service. The log was read up to the offset next in the store of epoch epoch.
 	shared   origin.Memory
@@ -77,15 +75,20 @@
 // New returns origins without records. The log may be nil: the records are then not shared.
 // Appends and reads end with ctx.
 func New(ctx context.Context, host Host, log infra.OriginLog, logger *slog.Logger) *Origins {
-	return &Origins{context: ctx, host: host, logger: logger, log: log, own: origin.Memory{Limit: maxOwnOrigins}, shared: origin.Memory{Limit: maxSharedOrigins}}
+	o := &Origins{context: ctx, host: host, logger: logger, log: log, own: origin.Memory{Limit: maxOwnOrigins}, shared: origin.Memory{Limit: maxSharedOrigins}}
+	o.pending = outbox.New(outbox.Config[origin.Record]{
+		Write: o.append, Sleep: o.sleep, Keep: o.isNeeded, Again: isStream, Dropped: func(n int) { host.CountShared("dropped", n) },
+		MaxPending: maxPendingRecords, MaxBatch: maxRecordsPerAppend, Delay: shareDelay, MinBackoff: shareBackoff, MaxBackoff: shareBackoff,
+	})
+	return o
 }
 
 // Record records the version that a stream was sent to, and shares it if necessary.
 func (o *Origins) Record(r origin.Record, share bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	if !r.Settles() {
+		o.mu.Lock()
 		o.own.Put(o.host.Now(), r)
+		o.mu.Unlock()
 	}
 	if share {
 		o.enqueue(r)
@@ -95,40 +98,15 @@
 // Share shares the records of all streams of a service that this node has sent.
 func (o *Origins) Share(service string) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.enqueue(o.own.Of(o.host.Now(), service)...)
+	records := o.own.Of(o.host.Now(), service)
+	o.mu.Unlock()
+	o.enqueue(records...)
 }
 
-// enqueue adds records to the next append. The oldest are discarded if there are too many.
-// The lock must be held.
+// enqueue adds records to the next append.
 func (o *Origins) enqueue(records ...origin.Record) {
-	if o.log == nil || len(records) == 0 {
-		return
-	}
-	o.pending = append(o.pending, records...)
-	if excess := len(o.pending) - maxPendingRecords; excess > 0 {
-		o.host.CountShared("dropped", excess)
-		o.pending = o.pending[excess:]
-	}
-	if !o.sharing {
-		o.sharing = true
-		go o.appendPending()
-	}
-}
-
-// appendPending appends the pending records until none is left.
-func (o *Origins) appendPending() {
-	delay := shareDelay
-	for o.sleep(delay) {
-		batch := o.nextBatch()
-		if len(batch) == 0 {
-			return
-		}
-		delay = shareDelay
-		if !o.appendBatch(batch) {
-			o.putBack(batch)
-			delay = shareBackoff
-		}
+	if o.log != nil {
+		o.pending.Add(records...)
 	}
 }
 
@@ -142,8 +120,21 @@
 	}
 }
 
-// appendBatch appends records to the log and reports whether that succeeded.
-func (o *Origins) appendBatch(batch []origin.Record) bool {
+// isNeeded reports whether a record that waits is still of use.
+func (o *Origins) isNeeded(r origin.Record) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, _, ok := o.own.Get(o.host.Now(), r.ID)
+	return ok || r.Settles()
+}
+
+// isStream reports whether a record is that of a stream. It is appended again after a failure,
+// which may leave it twice in the log; the number of the attempt tells which record holds. A
+// statement about a service may no longer hold when the log is back, and is made again.
+func isStream(r origin.Record) bool { return !r.Settles() }
+
+// append appends records to the log and reports whether that succeeded.
+func (o *Origins) append(batch []origin.Record) bool {
 	if err := o.log.AppendOrigins(o.context, batch); err != nil {
 		o.host.CountShared("failed", len(batch))
 		o.logger.Warn("versions of streams are not shared", "records", len(batch), "error", err.Error())
@@ -152,30 +143,3 @@
 	o.host.CountShared("ok", len(batch))
 	return true
 }
-
-// nextBatch takes the oldest pending records that have not expired. If there is none, the
-// goroutine that appends ends.
-func (o *Origins) nextBatch() []origin.Record {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var batch []origin.Record
-	for len(o.pending) > 0 && len(batch) < maxRecordsPerAppend {
-		r := o.pending[0]
-		o.pending = o.pending[1:]
-		if _, _, ok := o.own.Get(o.host.Now(), r.ID); ok || r.Settles() {
-			batch = append(batch, r)
-		}
-	}
-	o.sharing = len(batch) > 0
-	return batch
-}
-
-// putBack makes the records of an append that failed the first of the next one. Some of
-// them may be in the log already; the number of the attempt tells which record holds. A
-// statement about a service may no longer hold when the log is back, and is made again.
-func (o *Origins) putBack(batch []origin.Record) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	batch = slices.DeleteFunc(batch, origin.Record.Settles)
-	o.pending = append(batch, o.pending...)
-}
