--- a/cmd/teaselplank/cmds/entry.go
+++ b/cmd/teaselplank/cmds/entry.go
@@ -17,7 +17,7 @@
 
 // entry runs an entry host of a deployment until it receives SIGTERM or SIGINT.
 type entry struct {
-	Settings string `arg:"" optional:"" env:"TEASELPLANK_NODE_FILE" help:"Settings file; defaults to the one that the environment variable names."`
+	Settings string `arg:"" optional:"" env:"${settings_variable}" help:"Settings file; defaults to the one that the environment variable names."`
 	Check    bool   `help:"Check the settings and exit."`
 }
 
@@ -37,7 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if c.Settings == "" {
-		return fmt.Errorf("no settings file: pass it as an argument or set TEASELPLANK_NODE_FILE")
+		return fmt.Errorf("no settings file: pass it as an argument or set %s", platform.SettingsVariable)
 	}
 	settings, err := conf.LoadEntry(c.Settings)
 	if err != nil {
--- a/cmd/teaselplank/cmds/main.go
+++ b/cmd/teaselplank/cmds/main.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"teaselplank/platform"
 )
 
 // Exit statuses.
@@ -50,6 +52,7 @@
 		kong.Name("teaselplank"),
 		kong.Description("Serves multi-stage model pipelines on donated hosts."),
 		kong.Writers(out, errors),
+		kong.Vars{"settings_variable": platform.SettingsVariable},
 		kong.Exit(func(code int) { status = code }),
 		kong.Bind(&streams{out, errors}),
 	)
