Spread limits in few messages, and take their weight from the candidate

A node that learns many limits at once, as from a peer's state after its start, sent three messages for each of them (up to 3,072); it sends one digest to three nodes now, and the rounds bring the rest (TestManyLimitsAtOnce). The weight of an engine with a limit was looked up over all services for each candidate of each pick; the candidate brings it now.

Where the cause could still act, and does not: retries, resumed streams, stage calls, frees and reports take tokens at the one place that sends each of them; the check after a crash opens a connection and sends nothing; a stopping node has no share at once.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -24,11 +24,13 @@
 	for _, m := range d.Marks {
 		g.addMark(m)
 	}
+	var news []limit.Limit
 	for _, l := range d.Limits {
 		if g.limits.Merge(now, l) {
-			g.spreadLimit(l)
+			news = append(news, l)
 		}
 	}
+	g.spreadLimits(news)
 }
 
 // mergeNode updates the entry of a node. It ignores older information.
--- a/member/limit_test.go
+++ b/member/limit_test.go
@@ -60,3 +60,28 @@
 	n.advance(time.Second)
 	wantSettled(3, 4)
 }
+
+// A node that learns many limits at once must not send a message for each of them.
+func TestManyLimitsAtOnce(t *testing.T) {
+	n := newNetwork(8)
+	n.advance(5 * time.Second)
+	var d Digest
+	for i := range 500 {
+		d.Limits = append(d.Limits, limit.Limit{Process: limit.Process{ID: "w", Born: int64(i)}, Rate: 1, Version: 1})
+	}
+	messages, changes := 0, 0
+	for _, e := range n.groups[0].Step(n.now, DigestReceived{d}) {
+		switch e := e.(type) {
+		case Gossip:
+			messages++
+			if len(e.Digest.Limits) > DefaultConfig().MaxLimits {
+				t.Errorf("digest has %d limits", len(e.Digest.Limits))
+			}
+		case LimitChanged:
+			changes++
+		}
+	}
+	if messages > DefaultConfig().Fanout || changes != len(d.Limits) {
+		t.Errorf("%d messages and %d changes, want %d messages at most and %d changes", messages, changes, DefaultConfig().Fanout, len(d.Limits))
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -179,7 +179,7 @@
 		g.addMark(e.Mark)
 	case LimitStated:
 		if l, changed := g.limits.State(now, e.SentAt, e.Process, e.Statement); changed {
-			g.spreadLimit(l)
+			g.spreadLimits([]limit.Limit{l})
 		}
 	case Stop:
 		g.self.Leaving = true
@@ -331,10 +331,16 @@
 	}
 }
 
-// spreadLimit reports a limit that has changed, and sends it to other nodes.
-func (g *Group) spreadLimit(l limit.Limit) {
-	g.emit(LimitChanged{l})
-	g.spread(Digest{From: g.self, Limits: []limit.Limit{l}})
+// spreadLimits reports limits that have changed, and sends them to other nodes. Those that are
+// too many for one digest spread with the next rounds.
+func (g *Group) spreadLimits(news []limit.Limit) {
+	if len(news) == 0 {
+		return
+	}
+	for _, l := range news {
+		g.emit(LimitChanged{l})
+	}
+	g.spread(Digest{From: g.self, Limits: news[:min(len(news), g.config.MaxLimits)]})
 }
 
 // ConcernsLimit reports whether a statement about the limit of a process may change what is
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -44,7 +44,8 @@
 	// pause is how long the upstream wants no requests of this node.
 	pause health.Pause
 	// limit keeps this node to its share of the upstream's limit, limitTotal, which is in
-	// requests per second. limitSpread is the number of nodes for each one with a share.
+	// requests per second. limitSpread is the number of nodes for each one with a share; it
+	// is 0 without a limit.
 	limit       limit.Bucket
 	limitTotal  float64
 	limitSpread float64
@@ -120,7 +121,7 @@
 func (u *upstream) candidate(now time.Time) picker.Candidate {
 	return picker.Candidate{
 		ID: u.ID, Zone: u.Zone, Slots: u.Slots, InFlight: u.inFlight, OthersInFlight: u.otherRequests(now),
-		Latency: u.latency, FailureRate: u.failureRate, PendingTokens: u.pendingTokens,
+		Latency: u.latency, FailureRate: u.failureRate, PendingTokens: u.pendingTokens, Weight: u.limitSpread,
 	}
 }
 
@@ -154,10 +155,7 @@
 	}
 	for i, e := range engines {
 		if workers := n.stageWorkers[e.Zone]; workers > 0 {
-			engines[i].Weight = float64(workers) / float64(byZone[e.Zone])
-		}
-		if u := n.upstream(e.ID); u != nil && u.limit.Limited() {
-			engines[i].Weight = max(engines[i].Weight, 1) * max(u.limitSpread, 1)
+			engines[i].Weight = max(e.Weight, 1) * float64(workers) / float64(byZone[e.Zone])
 		}
 	}
 	return engines
--- a/relay/connect.go
+++ b/relay/connect.go
@@ -56,8 +56,7 @@
 }
 
 // observeNotice applies what an upstream says about itself in a response to a request that
-// was sent at the given time. All requests to
-// upstreams pass their responses to it.
+// was sent at the given time. All requests to upstreams pass their responses to it.
 func (s *Server) observeNotice(u fleet.Upstream, r *http.Response, sentAt time.Time) {
 	notice := s.protocol.ParseNotice(r)
 	s.observeLimit(u, notice.Limit, sentAt)
