--- a/limit/share.go
+++ b/limit/share.go
@@ -33,10 +33,25 @@
 	}
 	rate := max(l.Rate, minRate) * float64(len(nodes)) / float64(max(total, len(nodes)))
 	holders := min(max(int(rate/minShare), 1), len(nodes))
-	ranked := slices.Clone(nodes)
-	score := func(node string) uint64 { return xxhash.Sum64String(node + "\x00" + l.Process.ID) }
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b)) })
-	return Share{Rate: rate / float64(holders), Holders: ranked[:holders]}
+	return Share{Rate: rate / float64(holders), Holders: rank(nodes, l.Process.ID)[:holders]}
+}
+
+// rank orders nodes for an upstream by rendezvous hashing.
+func rank(nodes []string, upstream string) []string {
+	type ranked struct {
+		node  string
+		score uint64
+	}
+	order := make([]ranked, len(nodes))
+	for i, node := range nodes {
+		order[i] = ranked{node, xxhash.Sum64String(node + "\x00" + upstream)}
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node)) })
+	names := make([]string, len(order))
+	for i, r := range order {
+		names[i] = r.node
+	}
+	return names
 }
 
 // Of returns the rate that a node may use.
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -136,3 +136,14 @@
 		t.Errorf("bucket allows a request: %v, want %v", got, want)
 	}
 }
+
+func BenchmarkDivide(b *testing.B) {
+	var nodes []string
+	for i := range 440 {
+		nodes = append(nodes, fmt.Sprint("node-", i))
+	}
+	l := Limit{Process: process, Rate: 4}
+	for b.Loop() {
+		Divide(l, nodes, len(nodes))
+	}
+}
