--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -46,6 +46,7 @@
 		"raised step by step":       {{0, named(3), 0, 3}, {second, named(50), 0, 3}, {second, named(50), 0, 6}, {second, named(50), 0, 6}, {second, named(50), 0, 12}},
 		"raised from zero":          {{0, named(0), 0, 0}, {second, named(50), 0, 0}, {second, named(50), 0, 1}},
 		"raised to the lowest":      {{0, named(3), 0, 3}, {second, named(4), 0, 3}, {second, named(9), 0, 4}},
+		"two responses at once":     {{0, named(3), 0, 3}, {second, Statement{}, 0, 3}, {time.Millisecond, Statement{}, 0, 3}, {second, Statement{}, 0, -1}},
 		"one response without":      {{0, named(3), 0, 3}, {second, Statement{}, 0, 3}, {second, named(3), 0, 3}, {second, Statement{}, 0, 3}},
 		"another in each response":  {{0, named(9), 0, 9}, {second, named(1), 0, 1}, {second, named(9), 0, 1}, {second, named(1), 0, 1}, {second, named(9), 0, 1}},
 		"request sent before":       {{0, named(3), 0, 3}, {second, Statement{}, 2 * second, 3}, {second, Statement{}, 3 * second, 3}},
