--- a/proxy/limit.go
+++ b/proxy/limit.go
@@ -86,12 +86,13 @@
 		return false
 	}
 	f, limited := n.forecastLimits(now, r, p)
-	if !limited || f.wait == 0 && f.rate == 0 {
+	if !limited {
 		return false
 	}
 	wait := f.wait
-	if ahead := n.staging(r.service); ahead > 0 && f.rate > 0 {
-		wait = max(wait, time.Duration(float64(ahead)/f.rate*float64(time.Second)))
+	if f.rate > 0 {
+		// The requests whose stages are running come first.
+		wait = max(wait, time.Duration(float64(n.staging(r.service))/f.rate*float64(time.Second)))
 	}
 	if wait == 0 || r.hasStages() && !now.Add(wait).After(r.due) {
 		return false
