Look for what explains a request together only for whole requests

The sets of parts are derived under the lock that each request takes. Since requests count as a whole, that copied the cases of all heavier parts for each part, also for parts of prompts, which nothing uses.

The question is asked only for whole requests now, process by process, and ends at the first one without an answer. Decisions stay: the tests and the mutant of the decision are as they were.

--- a/poison/bench_test.go
+++ b/poison/bench_test.go
@@ -66,3 +66,25 @@
 		d.Match(start, nil)
 	}
 }
+
+// BenchmarkGroups measures how long it takes to derive the sets of parts when many parts and
+// requests are held back.
+func BenchmarkGroups(b *testing.B) {
+	for name, part := range map[string]func(int) string{
+		"parts":    func(i int) string { return fmt.Sprint("p", i) },
+		"requests": func(i int) string { return Whole(fmt.Sprint(i)) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			var d Detector
+			for i := range maxSuspects {
+				for j := range 3 + i%4 {
+					crash(&d, 8*i+j, Begun, part(i))
+				}
+			}
+			for b.Loop() {
+				d.stale = true
+				d.refresh()
+			}
+		})
+	}
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -468,23 +468,21 @@
 // a whole request, several of them that have more cases each.
 func (d *Detector) explained(part string, alike [][]string) bool {
 	s := d.suspects[part]
-	heavier := make(map[Process]Weight)
-	for _, others := range alike {
+	explains := func(others []string) bool {
 		o := d.suspects[others[0]]
-		if o != s && coversAll(o.cases, s.cases) && !coversAll(s.cases, o.cases) {
-			return true
-		}
-		if o.weight > s.weight {
-			maps.Copy(heavier, o.cases)
-		}
+		return o != s && coversAll(o.cases, s.cases) && !coversAll(s.cases, o.cases)
 	}
-	return isWhole(part) && coversProcesses(heavier, s.cases)
+	return slices.ContainsFunc(alike, explains) || isWhole(part) && d.explainedTogether(s, alike)
 }
 
-// coversProcesses reports whether a has a case at all processes of b.
-func coversProcesses(a, b map[Process]Weight) bool {
-	for p := range b {
-		if _, ok := a[p]; !ok {
+// explainedTogether reports whether each process of a suspect has a case of a heavier one.
+func (d *Detector) explainedTogether(s *suspect, alike [][]string) bool {
+	for p := range s.cases {
+		isHeavier := func(others []string) bool {
+			o := d.suspects[others[0]]
+			return o.weight > s.weight && o.cases[p] > Refuted
+		}
+		if !slices.ContainsFunc(alike, isHeavier) {
 			return false
 		}
 	}
