Choose the map of completions of a part in one place

WasSound, Excuses and Completed each chose between the completions of parts and those of whole requests. Behaviour stays, the tests of poison pass as they were.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -168,19 +168,31 @@
 	if w == Waiting || isWhole(part) {
 		return d.WasSound(now, part)
 	}
-	at, ok := d.completed.Get(part)
-	return ok && now.Sub(at) < soundTime
+	return d.completedWithin(now, part, soundTime)
 }
 
 // WasSound reports whether responses to requests with a part were completed, so that its
 // cases are more likely those of another part.
 func (d *Detector) WasSound(now time.Time, part string) bool {
 	if isWhole(part) {
-		at, ok := d.completedWhole.Get(part)
-		return ok && now.Sub(at) < soundWholeTime
+		return d.completedWithin(now, part, soundWholeTime)
 	}
-	at, ok := d.completed.Get(part)
-	return ok && now.Sub(at) < KeepTime
+	return d.completedWithin(now, part, KeepTime)
+}
+
+func (d *Detector) completedWithin(now time.Time, part string, age time.Duration) bool {
+	at, ok := d.completions(part).Get(part)
+	return ok && now.Sub(at) < age
+}
+
+// completions returns the map that has the last completion of a part.
+func (d *Detector) completions(part string) *queue.FIFOMap[string, time.Time] {
+	completions := &d.completed
+	if isWhole(part) {
+		completions = &d.completedWhole
+	}
+	completions.Limit = maxCompleted
+	return completions
 }
 
 // suspect returns the entry of a part. If there are too many, it replaces the one that was
@@ -255,13 +267,8 @@
 // on long after its beginning: their cases so far do not count. It returns those that must
 // be refuted at other nodes at once, because they are about to hold sound requests back.
 func (d *Detector) Completed(now time.Time, parts []string) (refuted []Case) {
-	d.completed.Limit, d.completedWhole.Limit = maxCompleted, maxCompleted
 	for _, part := range parts {
-		if isWhole(part) {
-			d.completedWhole.Put(part, now)
-		} else {
-			d.completed.Put(part, now)
-		}
+		d.completions(part).Put(part, now)
 		s := d.suspects[part]
 		if s == nil || len(s.cases) == 0 {
 			continue
