Assign the return times of refused clients in one place

proxy's schedule for clients that upstreams' limits refuse was batch's for jobs that come too late, written again with ranks. queue.Schedule serves both; batch uses one rank.

--- a/batch/retry.go
+++ b/batch/retry.go
@@ -1,33 +1,25 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"teaselplank/queue"
+)
 
 // A retrySchedule assigns the times at which refused requests may retry. In a burst that
 // lasts longer than requests wait, requests that all retried after the same short time
 // would meet the burst again and be refused again. Each request gets a slot in a schedule
 // that advances with a share of the workers' throughput, so that capacity is likely to be
 // available at its slot. The zero value is an empty schedule.
-type retrySchedule struct {
-	// end is the time of the last slot.
-	end time.Time
-}
+type retrySchedule struct{ slots queue.Schedule }
 
-const (
-	// retryShare is the share of the workers' capacity for retried requests.
-	retryShare = 0.15
-	// maxRetryAfter bounds the time until a retry.
-	maxRetryAfter = 8 * time.Second
-)
+// retryShare is the share of the workers' capacity for retried requests.
+const retryShare = 0.15
 
 // next returns the time until the retry of a request that would be in time after
 // minWait and that occupies all workers for workTime.
 func (s *retrySchedule) next(now time.Time, minWait, workTime time.Duration) time.Duration {
-	slot := s.end.Add(time.Duration(float64(workTime) / retryShare))
-	s.end = latest(slot, now.Add(minWait))
-	if limit := now.Add(maxRetryAfter); s.end.After(limit) {
-		s.end = limit
-	}
-	return s.end.Sub(now)
+	return s.slots.Next(now, 0, minWait, time.Duration(float64(workTime)/retryShare))
 }
 
 // bottleneckTime returns how long a request occupies all workers of its bottleneck
--- a/proxy/limit.go
+++ b/proxy/limit.go
@@ -131,42 +131,12 @@
 	n.fail(now, r, ReasonNoUpstream, max(upstreamRetryAfter, p.pauseLeft(now, r)))
 }
 
-const (
-	// minReturnRate bounds the interval between two clients that may return.
-	minReturnRate = 0.1 // requests per second
-	// maxReturnAfter bounds the time after which a client may return.
-	maxReturnAfter = 8 * time.Second
-)
+// minReturnRate bounds the interval between two clients that may return.
+const minReturnRate = 0.1 // requests per second
 
 // returnAfter returns when the client of a request may return that the limits of upstreams
 // keep from them.
 func (p *pool) returnAfter(now time.Time, r *request, f limitForecast) time.Duration {
 	interval := time.Duration(float64(time.Second) / max(f.part, minReturnRate))
-	return p.returns.next(now, r.rank, max(busyRetryAfter, min(f.wait, interval)), interval)
-}
-
-// A returnSchedule assigns the times at which refused clients may return, at the rate at which
-// they can be served and the more urgent ones first. The zero value is empty.
-type returnSchedule struct {
-	// ends has the time of the last return by rank.
-	ends map[int]time.Time
-}
-
-// next returns the time until the return of a client whose request has the given rank, which
-// is minWait at least.
-func (s *returnSchedule) next(now time.Time, rank int, minWait, interval time.Duration) time.Duration {
-	at := now.Add(minWait)
-	for other, end := range s.ends {
-		if next := end.Add(interval); other <= rank && next.After(at) {
-			at = next
-		}
-	}
-	if latest := now.Add(maxReturnAfter); at.After(latest) {
-		at = latest
-	}
-	if s.ends == nil {
-		s.ends = make(map[int]time.Time)
-	}
-	s.ends[rank] = at
-	return at.Sub(now)
+	return p.returns.Next(now, r.rank, max(busyRetryAfter, min(f.wait, interval)), interval)
 }
--- a/proxy/limit_test.go
+++ b/proxy/limit_test.go
@@ -92,28 +92,6 @@
 	}
 }
 
-// Clients must return at the rate at which they can be served, the more urgent ones first.
-func TestReturnSchedule(t *testing.T) {
-	var s returnSchedule
-	next := func(rank int) time.Duration { return s.next(start, rank, 100*time.Millisecond, time.Second) }
-	for i, c := range []struct {
-		rank int
-		want time.Duration
-	}{
-		{2, 100 * time.Millisecond}, {2, 1100 * time.Millisecond}, {1, 100 * time.Millisecond}, {1, 1100 * time.Millisecond},
-		{2, 2100 * time.Millisecond}, {0, 100 * time.Millisecond},
-	} {
-		if got := next(c.rank); got != c.want {
-			t.Errorf("return %d of rank %d is after %s, want %s", i, c.rank, got, c.want)
-		}
-	}
-	for range 20 {
-		if got := next(2); got > maxReturnAfter {
-			t.Errorf("return is after %s, want %s at most", got, maxReturnAfter)
-		}
-	}
-}
-
 // A request that needs longer than the time that is left must not be sent.
 func TestSentTooLateForItsResponse(t *testing.T) {
 	h := newHarness(t)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -10,6 +10,7 @@
 	"teaselplank/health"
 	"teaselplank/limit"
 	"teaselplank/picker"
+	"teaselplank/queue"
 )
 
 // A pool is the upstreams of a service.
@@ -19,7 +20,7 @@
 	retryBudget budget.Meter
 	// returns are the times at which clients that were refused for the limits of upstreams
 	// may return.
-	returns returnSchedule
+	returns queue.Schedule
 }
 
 // An upstream is the node's view of one upstream.
