Keep the part that stands for a request with the request

It was derived anew at each of the places that use it (two to four times a request, more at a failure), and errorReceived passed a status that no upstream had given to say that only the whole request is sound. Behaviour stays, the tests of proxy pass as they were.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -228,7 +228,7 @@
 // not possible, it forwards the error, unless a stalled attempt may still have a response
 // or the client already has part of one.
 func (n *Node) errorReceived(now time.Time, r *request, a *attempt) {
-	n.completedParts(now, r, http.StatusInternalServerError)
+	n.showSound(now, r.whole)
 	if a == r.stalled {
 		n.endAttempt(r, a) // Another attempt is being made.
 		return
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -29,17 +29,14 @@
 	if n.isEngine(r.service) {
 		parts = append(parts, r.PromptParts...)
 	}
-	if r.Digest != "" {
-		parts = append(parts, poison.Whole(r.Digest))
-	}
-	return parts
+	return append(parts, r.whole...)
 }
 
 // caseWeight returns the weight of a part's case at an upstream. It did not begin to run a
 // whole request that was waiting, but what it ran ended it at the same time.
 func (n *Node) caseWeight(now time.Time, r *request, a *attempt, part string) poison.Weight {
 	switch {
-	case part == poison.Whole(r.Digest):
+	case slices.Contains(r.whole, part):
 		return poison.Begun
 	case !a.responding || n.poison.WasSound(now, part):
 		return poison.Waiting
@@ -137,10 +134,15 @@
 // completedParts records that the parts of a completed request do not crash upstreams. An
 // error shows it only of the request as a whole.
 func (n *Node) completedParts(now time.Time, r *request, status int) {
-	parts := n.crashParts(r)
 	if status != http.StatusOK {
-		parts = slices.DeleteFunc(parts, func(part string) bool { return part != poison.Whole(r.Digest) })
+		n.showSound(now, r.whole)
+		return
 	}
+	n.showSound(now, n.crashParts(r))
+}
+
+// showSound records that parts do not crash upstreams.
+func (n *Node) showSound(now time.Time, parts []string) {
 	n.shareCases(n.poison.Completed(now, parts))
 	n.recordPoison()
 }
@@ -199,8 +201,8 @@
 	return true
 }
 
-// PoisonCases returns the cases that this node knows of prompt parts that crash upstreams,
-// but for those at upstreams that are still being checked.
+// PoisonCases returns the cases that this node knows of parts of requests that crash
+// upstreams, but for those at upstreams that are still being checked.
 func (n *Node) PoisonCases() []poison.Case {
 	return slices.DeleteFunc(n.poison.Cases(), func(c poison.Case) bool {
 		check, checking := n.crashChecks[c.Process]
@@ -208,5 +210,5 @@
 	})
 }
 
-// PoisonGroups returns the sets of prompt parts that requests are held back for.
+// PoisonGroups returns the sets of parts that requests are held back for.
 func (n *Node) PoisonGroups() [][]string { return n.poison.Groups() }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -47,6 +47,9 @@
 // A request is a client request in progress.
 type request struct {
 	Request
+	// whole is the part that stands for the request as a whole, or nothing if its digest is
+	// not known.
+	whole   []string
 	route   *fleet.Route
 	service string
 	account string
@@ -131,6 +134,9 @@
 func (n *Node) arrive(now time.Time, q Request) {
 	n.counts.Arrived++
 	r := &request{Request: q, status: statusStaging, arrived: now, lastEventID: q.LastEventID}
+	if q.Digest != "" {
+		r.whole = []string{poison.Whole(q.Digest)}
+	}
 	n.requests[q.Number] = r
 	if n.table == nil {
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonNoConfig, configRetryAfter)
