--- a/limit/limit.go
+++ b/limit/limit.go
@@ -106,8 +106,11 @@
 		e.higherSince = time.Time{}
 		return e.limit, false
 	}
-	if e.limit.isBelow(s) && !e.confirmsRise(now, sentAt, &s) {
-		return e.limit, false
+	if e.limit.isBelow(s) {
+		var confirmed bool
+		if s, confirmed = e.rise(now, sentAt, s); !confirmed {
+			return e.limit, false
+		}
 	}
 	l := Limit{Process: p, Ended: !s.Named, Version: e.limit.Version + 1}
 	if s.Named {
@@ -116,25 +119,25 @@
 	return t.set(now, l), true
 }
 
-// confirmsRise reports whether a process has named a higher limit, or none, for long enough,
-// and sets the statement to the limit that then holds. Responses to requests
-// that were sent before the limit was known say nothing.
-func (e *entry) confirmsRise(now, sentAt time.Time, s *Statement) bool {
+// rise takes a statement above the limit. It returns what holds instead of the limit, and
+// whether the process has named a higher limit, or none, for long enough. Responses to
+// requests that were sent before the limit was known say nothing.
+func (e *entry) rise(now, sentAt time.Time, s Statement) (Statement, bool) {
 	if sentAt.Before(e.since) {
-		return false
+		return s, false
 	}
 	if e.higherSince.IsZero() {
-		e.higher, e.higherSince = *s, now
-		return false
+		e.higher, e.higherSince = s, now
+		return s, false
 	}
 	if s.Named && (!e.higher.Named || s.Rate < e.higher.Rate) {
-		e.higher = *s
+		e.higher = s
 	}
-	*s = e.higher
-	if s.Named {
-		s.Rate = min(s.Rate, max(maxRise*e.limit.Rate, minRise))
+	risen := e.higher
+	if risen.Named {
+		risen.Rate = min(risen.Rate, max(maxRise*e.limit.Rate, minRise))
 	}
-	return now.Sub(e.higherSince) >= riseDelay
+	return risen, now.Sub(e.higherSince) >= riseDelay
 }
 
 // Knows reports whether the table has an entry of a process.
