Pass limits to the scheduler of stages for stage workers alone

Each limit was passed to it each 0.5 s, also those of engines and plain services, which it does not have; each pass lets it look at all of its queues. The question whether an upstream is a stage worker has one place. Behaviour stays: the tests of limits in relay pass as they were.

--- a/relay/limit.go
+++ b/relay/limit.go
@@ -50,7 +50,9 @@
 			ID: l.Process.ID, Born: l.Process.Born, Limited: !l.Ended, Rate: rate, Total: l.Rate,
 			Spread: float64(len(ids)) / float64(max(len(share.Holders), 1)),
 		})
-		s.owner.step(batch.Limited{Worker: l.Process.ID, Born: l.Process.Born, Limited: !l.Ended, Rate: rate})
+		if _, ok := s.stageZone(l.Process); ok {
+			s.owner.step(batch.Limited{Worker: l.Process.ID, Born: l.Process.Born, Limited: !l.Ended, Rate: rate})
+		}
 	}
 }
 
@@ -87,14 +89,20 @@
 		return limit.Share{}
 	}
 	share := limit.Divide(l, ids, total)
-	s.mu.Lock()
-	u, _ := s.directory.Get(l.Process.ID)
-	owned := s.config.table != nil && isStage(s.config.table.Service(u.Service))
-	s.mu.Unlock()
-	if owned {
-		return limit.Share{Rate: share.Rate * float64(len(share.Holders)), Holders: []string{s.stageOwner(u.Zone).ID}}
+	if zone, ok := s.stageZone(l.Process); ok {
+		return limit.Share{Rate: share.Rate * float64(len(share.Holders)), Holders: []string{s.stageOwner(zone).ID}}
 	}
 	return share
 }
 
-func isStage(service *fleet.Service) bool { return service != nil && service.Batch != nil }
+// stageZone returns the zone of an upstream if it is a stage worker.
+func (s *Server) stageZone(p limit.Process) (zone string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.directory.Get(p.ID)
+	if !known || s.config.table == nil {
+		return "", false
+	}
+	service := s.config.table.Service(u.Service)
+	return u.Zone, service != nil && service.Batch != nil
+}
