Check what crashes upstreams in one place in relay's tests and in the soak

The checks for parts of prompts and for whole requests were twins that differed in words, as were the starts of late nodes and the surroundings of two kinds of plans.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -89,20 +89,36 @@
 	}
 }
 
-// wantPartLearned checks that the nodes kept a part from upstreams once they could know it.
-func wantPartLearned(t *testing.T, part *stand.CrashPart) {
+// wantLearned checks that the nodes kept from upstreams what crashes them, once they could know
+// it after a number of crashes.
+func wantLearned(t *testing.T, what string, c *stand.CrashRecord, enough int) {
 	t.Helper()
-	crashes := part.Crashes()
-	t.Logf("%d crashes, %d requests with the part reached upstreams", len(crashes), part.ArrivalsAfter(time.Time{}))
-	if len(crashes) < crashesToLearn {
+	crashes := c.Crashes()
+	t.Logf("%s: %d crashes, %d arrivals", what, len(crashes), c.ArrivalsAfter(time.Time{}))
+	if len(crashes) < enough {
 		return
 	}
-	if got := part.ArrivalsAfter(crashes[crashesToLearn-1].Add(learnTime)); got > lateArrivals {
-		t.Errorf("%d requests with the part reached upstreams later than %s after the crash number %d of %d, want %d at most",
-			got, learnTime, crashesToLearn, len(crashes), lateArrivals)
+	if got := c.ArrivalsAfter(crashes[enough-1].Add(learnTime)); got > lateArrivals {
+		t.Errorf("%s reached upstreams %d times later than %s after crash number %d of %d, want %d at most",
+			what, got, learnTime, enough, len(crashes), lateArrivals)
 	}
 }
 
+// lateNode starts a node once the others have learned, and ends these before if endOthers is
+// true. It returns the node when it is ready.
+func (d *deployment) lateNode(endOthers bool) *testNode {
+	d.t.Helper()
+	if endOthers {
+		for _, n := range d.nodes {
+			n.stop()
+			n.server.close()
+		}
+	}
+	n := d.addNode("late")
+	d.await("the new node is ready", func() bool { return d.isReady(n) })
+	return n
+}
+
 // Requests with a part that crashes upstreams must be kept from them, and no others.
 func TestPartCrashesUpstreamsOnAndOn(t *testing.T) {
 	const (
@@ -128,7 +144,7 @@
 	}
 	group.Wait()
 	wait()
-	wantPartLearned(t, part)
+	wantLearned(t, "a request with the part", &part.CrashRecord, crashesToLearn)
 	last.wantServed(t, 0.9)
 }
 
@@ -138,14 +154,7 @@
 		t.Run(fmt.Sprintf("all restart: %v", restart), func(t *testing.T) {
 			d, part := deployWithCrashes(t, 2)
 			d.sendCrashing(part, 4*time.Second)()
-			if restart {
-				for _, n := range d.nodes {
-					n.stop()
-					n.server.close()
-				}
-			}
-			n := d.addNode("late")
-			d.await("the new node is ready", func() bool { return d.isReady(n) })
+			n := d.lateNode(restart)
 			ready := time.Now()
 			for i := range 4 {
 				d.askPrompt(n, fmt.Sprint("late-", i), stand.PathOnce, part.ID)
--- a/relay/crashing_request_test.go
+++ b/relay/crashing_request_test.go
@@ -17,21 +17,6 @@
 	crashingBody     = "a body that crashes upstreams"
 )
 
-// wantRequestLearned checks that the nodes kept a request from upstreams once they could know
-// that it crashes them.
-func wantRequestLearned(t *testing.T, q *stand.CrashRequest) {
-	t.Helper()
-	crashes := q.Crashes()
-	t.Logf("%s: %d crashes, %d arrivals", q.Path, len(crashes), q.ArrivalsAfter(time.Time{}))
-	if len(crashes) < crashesOfRequest {
-		return
-	}
-	if got := q.ArrivalsAfter(crashes[crashesOfRequest-1].Add(learnTime)); got > lateArrivals {
-		t.Errorf("%s reached upstreams %d times later than %s after its crash number %d of %d, want %d at most",
-			q.Path, got, learnTime, crashesOfRequest, len(crashes), lateArrivals)
-	}
-}
-
 // deployWithCrashingRequests starts plain workers that end under two requests, and nodes.
 func deployWithCrashingRequests(t *testing.T, nodes int) (*deployment, []*stand.CrashRequest) {
 	t.Helper()
@@ -100,7 +85,7 @@
 	}
 	group.Wait()
 	for _, q := range requests {
-		wantRequestLearned(t, q)
+		wantLearned(t, q.Path, &q.CrashRecord, crashesOfRequest)
 	}
 	last.wantServed(t, 0.95)
 }
@@ -114,14 +99,7 @@
 			q := requests[0]
 			d.crashUpstreams(q)
 			time.Sleep(time.Second)
-			if restart {
-				for _, n := range d.nodes {
-					n.stop()
-					n.server.close()
-				}
-			}
-			n := d.addNode("late")
-			d.await("the new node is ready", func() bool { return d.isReady(n) })
+			n := d.lateNode(restart)
 			ready := time.Now()
 			for i := range 3 {
 				wantStatus(t, d.askAs(n, fmt.Sprint("late-", i), q.Path, withBody(q.Body)), http.StatusServiceUnavailable)
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -119,19 +119,26 @@
 		if len(crashes) < toleratedByRequest {
 			continue
 		}
-		at := crashes[toleratedByRequest-1]
-		if at.After(known) {
+		if at := crashes[toleratedByRequest-1]; at.After(known) {
 			known = at
 		}
-		if n := q.ArrivalsAfter(at.Add(maxQuarantineDelay)); n > maxLateArrivals {
-			violations = append(violations, fmt.Sprintf("%s reached upstreams %d times later than %s after its crash %d, of %d in all",
-				q.Path, n, maxQuarantineDelay, toleratedByRequest, len(crashes)))
-		}
+		violations = append(violations, checkLateArrivals(q.Path, &q.CrashRecord, toleratedByRequest)...)
 	}
 	isPlain := func(r *record) bool { return !isStreamPath(r.path) }
 	return append(violations, d.clients.checkSound(isPlain, d.clients.crashFrom, known.Add(maxCrashRecovery))...)
 }
 
+// checkLateArrivals checks that what crashes upstreams is kept from them after the tolerated
+// number of crashes, of which there are as many at least.
+func checkLateArrivals(what string, c *stand.CrashRecord, tolerated int) []string {
+	crashes := c.Crashes()
+	n := c.ArrivalsAfter(crashes[tolerated-1].Add(maxQuarantineDelay))
+	if n <= maxLateArrivals {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s reached upstreams %d times later than %s after crash %d, of %d in all", what, n, maxQuarantineDelay, tolerated, len(crashes))}
+}
+
 // checkCrashes checks that requests with the part that crashes engines are kept from them
 // after some crashes, and that other requests are served then.
 func (d *deployment) checkCrashes() []string {
@@ -146,11 +153,7 @@
 		return nil
 	}
 	known := crashes[toleratedCrashes-1]
-	var violations []string
-	if n := d.crashPart.ArrivalsAfter(known.Add(maxQuarantineDelay)); n > maxLateArrivals {
-		violations = append(violations, fmt.Sprintf("%d requests with the part that crashes engines reached some later than %s after crash %d, of %d in all",
-			n, maxQuarantineDelay, toleratedCrashes, len(crashes)))
-	}
+	violations := checkLateArrivals("a request with the part that crashes engines", &d.crashPart.CrashRecord, toleratedCrashes)
 	isStream := func(r *record) bool { return isStreamPath(r.path) }
 	return append(violations, d.clients.checkSound(isStream, d.clients.crashFrom, known.Add(maxCrashRecovery))...)
 }
--- a/soak/kind.go
+++ b/soak/kind.go
@@ -72,25 +72,23 @@
 	},
 }
 
-// repeatSurroundings have more plain upstreams, so that some are left once requests that crash
+// repeatUpstreams are more plain upstreams, so that some are left once requests that crash
 // them are kept away.
-var repeatSurroundings = surroundings{
-	deadline: 3 * time.Second, shutdownGrace: 6 * time.Second, streamEvents: 12,
-	upstreamKinds: []upstreamKind{
-		{stand.ServiceDesk, stand.Plain, 4, 6, 20 * time.Millisecond},
-		{stand.ServiceEngine, stand.Engine, 1, 32, 15 * time.Millisecond},
-		{stand.ServiceEncode, stand.Stage, 1, 1, 20 * time.Millisecond},
-		{stand.ServiceRank, stand.Stage, 1, 1, 20 * time.Millisecond},
-	},
+var repeatUpstreams = []upstreamKind{
+	{stand.ServiceDesk, stand.Plain, 4, 6, 20 * time.Millisecond},
+	{stand.ServiceEngine, stand.Engine, 1, 32, 15 * time.Millisecond},
+	{stand.ServiceEncode, stand.Stage, 1, 1, 20 * time.Millisecond},
+	{stand.ServiceRank, stand.Stage, 1, 1, 20 * time.Millisecond},
 }
 
 // surroundings returns the parameters of a run.
 func (k PlanKind) surroundings() surroundings {
-	switch k {
-	case Silences:
+	if k == Silences {
 		return silentSurroundings
-	case Repeats:
-		return repeatSurroundings
 	}
-	return standardSurroundings
+	s := standardSurroundings
+	if k == Repeats {
+		s.upstreamKinds = repeatUpstreams
+	}
+	return s
 }
