--- a/infra/registry.go
+++ b/infra/registry.go
@@ -20,7 +20,7 @@
 	// StreamNodes holds the addresses of nodes, keyed by id. Only this system uses
 	// it.
 	StreamNodes Stream = "nodes"
-	// StreamCrashes holds the cases of prompt parts that crash upstreams, keyed by part
+	// StreamCrashes holds the cases of parts of requests that crash upstreams, keyed by part
 	// and process. Only this system uses it.
 	StreamCrashes Stream = "crashes"
 )
--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -19,7 +19,7 @@
 	// Again reports whether an item is to be written again after Write has failed. If it is
 	// nil, all are.
 	Again func(item T) bool
-	// Dropped is told how many items were dropped because too many wait.
+	// Dropped is called with the number of items that were dropped because too many wait.
 	Dropped func(items int)
 	// MaxPending bounds the items that wait, and MaxBatch those of one Write. Both are
 	// positive.
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -178,7 +178,7 @@
 		Born  int64
 		Ended bool
 	}
-	// CasesRead carries cases of prompt parts that other nodes have shared, and
+	// CasesRead carries cases of parts of requests that other nodes have shared, and
 	// CasesForgotten those that another node has forgotten.
 	CasesRead      struct{ Cases []poison.Case }
 	CasesForgotten struct{ Cases []poison.Case }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,7 +28,7 @@
 	Zone string
 	// Budget bounds the retries of all nodes together.
 	Budget budget.Config
-	// KeepDelay is how much longer than poison.KeepTime this node keeps cases of prompt
+	// KeepDelay is how much longer than poison.KeepTime this node keeps cases of
 	// parts. It differs between nodes, so that they do not all forget them at once.
 	KeepDelay time.Duration
 }
@@ -58,7 +58,7 @@
 	responseTimes durationsByRoute
 	// stop is how the node shuts down, or zero.
 	stop Stop
-	// poison finds prompt parts that crash upstreams. crashChecks are the upstreams that
+	// poison finds parts of requests that crash upstreams. crashChecks are the upstreams that
 	// are being checked, and poisonGroups the sets of parts that were last reported.
 	poison       poison.Detector
 	crashChecks  map[poison.Process]crashCheck
@@ -93,7 +93,7 @@
 }
 
 // Step applies an event and returns its effects, which are valid until the next call.
-// Except for Release, RecordDecision and the effects about origins and prompt parts, the
+// Except for Release, RecordDecision and the effects about origins and cases, the
 // effects of a request's event concern only that request.
 func (n *Node) Step(now time.Time, event Event) []Effect {
 	n.effects = nil
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -117,7 +117,7 @@
 	m.originsShared.WithLabelValues(result).Add(float64(records))
 }
 
-// countCases counts cases of prompt parts that were written to the store, failed to be, or
+// countCases counts cases of parts of requests that were written to the store, failed to be, or
 // were given up.
 func (m *metrics) countCases(result string, cases int) {
 	m.casesWritten.WithLabelValues(result).Add(float64(cases))
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -230,8 +230,8 @@
 	return &peerpb.StateReply{Rules: document, Hosts: hosts}, nil
 }
 
-// A peerState is a node's view of the upstreams, of their limits and of the prompt parts that
-// crash them, as it is sent to other nodes.
+// A peerState is a node's view of the upstreams, of their limits and of what in requests
+// crashes them, as it is sent to other nodes.
 type peerState struct {
 	Upstreams []fleet.Upstream
 	Removed   []fleet.Removal
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,7 +97,7 @@
 	division batch.Division
 	// upstreamsKnown is true once upstreams were read from the store or a peer.
 	upstreamsKnown bool
-	// casesKnown is true once the cases of prompt parts that crash upstreams were read
+	// casesKnown is true once the cases of parts of requests that crash upstreams were read
 	// from the store or a peer.
 	casesKnown bool
 	streams    map[infra.Stream]*streamState
