--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,7 +26,8 @@
 
 // scenarios has the scenarios by name.
 var scenarios = map[string]scenario{
-	"oddcount": runOddCount,
+	"oddcount":    runOddCount,
+	"foreignkeys": runForeignKeys,
 }
 
 func main() {
