--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -28,6 +28,7 @@
 var scenarios = map[string]scenario{
 	"oddcount":    runOddCount,
 	"foreignkeys": runForeignKeys,
+	"sentahead":   runSentAhead,
 }
 
 func main() {
