--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -97,18 +98,27 @@
 	return nil
 }
 
+// The ports of hosts are below those that the operating system gives to connections.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
 // freeAddrs returns loopback addresses on which no process listens.
 func freeAddrs(count int) ([]string, error) {
 	var addrs []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
+			continue // The port is in use.
 		}
 		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
+		if addrs = append(addrs, l.Addr().String()); len(addrs) == count {
+			return addrs, nil
+		}
 	}
-	return addrs, nil
+	return nil, fmt.Errorf("no %d ports are free between %d and %d", count, firstPort, lastPort)
 }
 
 // start starts the process.
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses of a case.
@@ -47,6 +49,13 @@
 		return exitFailure
 	}
 	defer l.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		l.close()
+		os.Exit(exitFailure)
+	}()
 	err = s(l)
 	switch {
 	case err == nil:
