Notice the end of a store outage in time for the removal of upstreams

What an upstream that exits then is sent is lost.

Cause: a read that the store has swallowed was given up only after 4 s, so that hosts noticed the store's return 3.5 s late, and began the grace period for expired entries then. Removals that the store had acknowledged since were put off to its end.

Change: an unanswered read is repeated beside itself each 0.4 s (package hedge). A repeat that overtakes its read counts as the end of an outage. Reads of upstreams wait 1.5 s for 2 s. Removals that are put off, and those at the end of the period, are logged.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -34,9 +34,9 @@
 	WarmupUnstated bool
 }
 
-// outageGrace is how long after a store outage the directory keeps upstreams whose
-// entries have expired. Live upstreams write their entries again within 2 seconds.
-const outageGrace = 2200 * time.Millisecond
+// rewriteTime is how long after a store outage live upstreams take at most to write their
+// entries again.
+const rewriteTime = 2 * time.Second
 
 // A Directory holds the registered upstreams. The zero value is empty.
 //
@@ -80,8 +80,10 @@
 }
 
 // StoreRecovered starts the grace period after a store outage or a restoration of the
-// store.
-func (d *Directory) StoreRecovered(now time.Time) { d.graceUntil = now.Add(outageGrace) }
+// store, given how much later than written entries are known.
+func (d *Directory) StoreRecovered(now time.Time, lag time.Duration) {
+	d.graceUntil = now.Add(rewriteTime + lag)
+}
 
 // Put adds or updates an entry. It reports whether the directory changes other than
 // in the sequence number or warmup time of an upstream.
@@ -182,16 +184,26 @@
 }
 
 // Expire removes the upstreams whose entries were not written again within the grace
-// period. It reports whether the directory changes.
-func (d *Directory) Expire(now time.Time) bool {
-	changed := false
+// period. It returns their number.
+func (d *Directory) Expire(now time.Time) int {
+	before := len(d.entries)
 	for _, e := range d.entries {
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
 			d.remove(e.upstream)
-			changed = true
 		}
 	}
-	return changed
+	return before - len(d.entries)
+}
+
+// Deferred returns the number of upstreams whose removal waits for the end of the grace period.
+func (d *Directory) Deferred() int {
+	count := 0
+	for _, e := range d.entries {
+		if !e.removeAt.IsZero() {
+			count++
+		}
+	}
+	return count
 }
 
 // Drain marks an upstream process as draining, as reported by another node. It reports
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -49,7 +49,15 @@
 	}
 }
 
+func wantDeferred(t *testing.T, d *Directory, want int) {
+	t.Helper()
+	if got := d.Deferred(); got != want {
+		t.Errorf("the removal of %d upstreams is deferred, want %d", got, want)
+	}
+}
+
 func TestDirectory(t *testing.T) {
+	const lag = time.Second
 	u := Upstream{ID: "u", Born: 5, Seq: 3, Addr: "10.0.0.1:1"}
 	t.Run("entry is removed", func(t *testing.T) {
 		var d Directory
@@ -60,19 +68,21 @@
 	t.Run("entry expires during a store outage and is written again", func(t *testing.T) {
 		var d Directory
 		d.Put(u)
-		d.StoreRecovered(start)
+		d.StoreRecovered(start, lag)
 		d.Remove(start, "u")
 		wantKnown(t, &d, "u", true)
+		wantDeferred(t, &d, 1)
 		d.Put(u)
+		wantDeferred(t, &d, 0)
 		d.Expire(start.Add(time.Minute))
 		wantKnown(t, &d, "u", true)
 	})
 	t.Run("entry expires during a store outage and is not written again", func(t *testing.T) {
 		var d Directory
 		d.Put(u)
-		d.StoreRecovered(start)
+		d.StoreRecovered(start, lag)
 		d.Remove(start, "u")
-		d.Expire(start.Add(outageGrace))
+		d.Expire(start.Add(rewriteTime + lag))
 		wantKnown(t, &d, "u", false)
 	})
 	t.Run("entry of an older process is ignored", func(t *testing.T) {
@@ -141,11 +151,11 @@
 	t.Run("entry is missing in a restored store", func(t *testing.T) {
 		var d Directory
 		d.Put(u)
-		d.StoreRecovered(start)
+		d.StoreRecovered(start, lag)
 		d.Replace(start, nil)
-		d.Expire(start.Add(outageGrace - time.Millisecond))
+		d.Expire(start.Add(rewriteTime + lag - time.Millisecond))
 		wantKnown(t, &d, "u", true)
-		d.Expire(start.Add(outageGrace))
+		d.Expire(start.Add(rewriteTime + lag))
 		wantKnown(t, &d, "u", false)
 		d.Put(u)
 		wantKnown(t, &d, "u", false)
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -53,7 +53,7 @@
 		if err == nil {
 			err = s.readNodes()
 		}
-		s.recordStoreRead(infra.StreamNodes, started, err)
+		s.recordStoreRead(infra.StreamNodes, storeRead{started: started, err: err})
 		if err != nil {
 			s.sleep(maxReadBackoff)
 			continue
--- a/relay/readers.go
+++ b/relay/readers.go
@@ -239,7 +239,7 @@
 		followed := r.follower.Unavailable(now, node)
 		r.mu.Unlock()
 		if followed {
-			s.recordView(f.stream, now, errReaderFailing, false)
+			s.viewFailed(f.stream, errReaderFailing)
 		}
 		return
 	}
@@ -254,7 +254,7 @@
 	r.mu.Unlock()
 	if !counts {
 		if !outdated && a.age > r.maxAge {
-			s.recordView(f.stream, now, errReaderFailing, false)
+			s.viewFailed(f.stream, errReaderFailing)
 		}
 		return
 	}
@@ -263,7 +263,7 @@
 			"reader", node, "readers", readers, "age_ms", a.age.Milliseconds())
 	}
 	s.metrics.views.WithLabelValues(string(f.stream), "node").Inc()
-	s.recordView(f.stream, now.Add(-a.age), nil, true)
+	s.viewed(f.stream, now.Add(-a.age), false)
 	s.observeEpoch(epoch)
 	page := infra.Page{Next: a.reply.GetEnd(), Epoch: epoch}
 	for _, m := range a.reply.GetRecords() {
@@ -317,6 +317,13 @@
 	return r.follower.Role()
 }
 
+// failing reports whether the node's last read of the store has failed.
+func (r *reading) failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follower.Failing()
+}
+
 // decidesRetry reports whether the reading decides when a failed read is repeated.
 func (r *reading) decidesRetry() bool { return r != nil && r.role() != follow.Alone }
 
@@ -331,23 +338,6 @@
 	return r.follower.Role() != follow.Alone && r.follower.Failing() && r.follower.Age(now) <= r.maxAge
 }
 
-// bound bounds a read of the store that waits for changes, in a large deployment.
-func (r *reading) bound(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
-	if r == nil {
-		return ctx, func() {}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.follower.Role() == follow.Alone {
-		return ctx, func() {}
-	}
-	timeout := readerTimeout
-	if r.follower.Failing() {
-		timeout = retryTimeout
-	}
-	return context.WithTimeout(ctx, wait+timeout)
-}
-
 // ownRead records the outcome of a read of the store.
 func (r *reading) ownRead(now time.Time, err error) {
 	if r == nil || errors.Is(err, context.Canceled) {
--- a/relay/store.go
+++ b/relay/store.go
@@ -16,7 +16,7 @@
 	configWait      = 15 * time.Second
 	largeConfigWait = 30 * time.Second
 	// upstreamWait is the same for the upstreams, whose entries change constantly.
-	upstreamWait = 2 * time.Second
+	upstreamWait = 1500 * time.Millisecond
 	// minUpstreamPause and maxUpstreamPause bound the pause between two reads of the
 	// upstreams. The pause is minimal up to nodesAtMinPause nodes and grows with
 	// their number, because the first node that reads that an upstream is leaving
@@ -25,6 +25,8 @@
 	minUpstreamPause = 450 * time.Millisecond
 	maxUpstreamPause = 1200 * time.Millisecond
 	nodesAtMinPause  = 12
+	// maxReadTime bounds the time of a read that finds changes, while the store serves.
+	maxReadTime = 200 * time.Millisecond
 	// minReadBackoff and maxReadBackoff bound the backoff after a failed read.
 	minReadBackoff = 150 * time.Millisecond
 	maxReadBackoff = 900 * time.Millisecond
@@ -34,8 +36,6 @@
 	// probeWait is how long the read after a failed one waits for changes. It is short,
 	// because a silent store may never answer that read, which then delays the next ones.
 	probeWait = 300 * time.Millisecond
-	// storeTimeout bounds reading all newest records and writing the node's own entry.
-	storeTimeout = 4 * time.Second
 )
 
 // A feed describes how a stream is read.
@@ -86,13 +86,22 @@
 	return upstreamPauseFor(s.nodeCount())
 }
 
+// upstreamsLag returns how much later than written the node knows an entry of an upstream at
+// most while the store serves. The lock must be held.
+func (s *Server) upstreamsLag() time.Duration {
+	return upstreamPauseFor(s.countNodes()) + maxReadTime
+}
+
 // nodeCount returns the number of nodes, with this one.
 func (s *Server) nodeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.group.Peers()) + 1
+	return s.countNodes()
 }
 
+// countNodes is nodeCount. The lock must be held.
+func (s *Server) countNodes() int { return len(s.group.Peers()) + 1 }
+
 func upstreamPauseFor(nodes int) time.Duration {
 	pause := minUpstreamPause * time.Duration(nodes) / nodesAtMinPause
 	return min(max(pause, minUpstreamPause), maxUpstreamPause)
@@ -131,8 +140,8 @@
 		}
 		started := s.now()
 		all, from := cursor.Whole(), cursor.Next()
-		page, err := s.readPage(f, &cursor, pollWait)
-		s.recordStoreRead(f.stream, started, err)
+		page, repeated, err := s.readPage(f, &cursor, pollWait)
+		s.recordStoreRead(f.stream, storeRead{started: started, repeated: repeated, err: err})
 		f.reading.ownRead(s.now(), err)
 		if err == nil {
 			s.observeEpoch(page.Epoch)
@@ -165,15 +174,6 @@
 	}
 }
 
-func (s *Server) readPage(f feed, cursor *infra.Cursor, wait time.Duration) (infra.Page, error) {
-	if cursor.Whole() {
-		return s.readNewest(f.stream)
-	}
-	ctx, cancel := f.reading.bound(s.context, wait)
-	defer cancel()
-	return s.readChanges(ctx, f.stream, cursor.Next(), wait)
-}
-
 // observeEpoch starts a grace period for upstreams if the store was restored from a copy,
 // restarts the reads that wait for changes, and lets the node write its own entry again.
 func (s *Server) observeEpoch(epoch infra.Epoch) {
@@ -185,7 +185,7 @@
 	}
 	s.epoch, s.epochKnown = epoch, true
 	if known {
-		s.directory.StoreRecovered(s.now())
+		s.directory.StoreRecovered(s.now(), s.upstreamsLag())
 		for _, state := range s.streams {
 			state.cancelRead()
 		}
@@ -203,69 +203,6 @@
 	}
 }
 
-// readChanges reads the changes from an offset, unless the read is cancelled.
-func (s *Server) readChanges(ctx context.Context, stream infra.Stream, from int64, wait time.Duration) (infra.Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.mu.Lock()
-	s.streamState(stream).cancel = cancel
-	s.mu.Unlock()
-	return s.registry.Changes(ctx, stream, from, wait)
-}
-
-func (s *Server) readNewest(stream infra.Stream) (infra.Page, error) {
-	ctx, cancel := context.WithTimeout(s.context, storeTimeout)
-	defer cancel()
-	return s.registry.Newest(ctx, stream)
-}
-
-// recordStoreRead records the outcome of a read of the store and logs the start and
-// end of a store outage.
-func (s *Server) recordStoreRead(stream infra.Stream, started time.Time, err error) {
-	if errors.Is(err, context.Canceled) {
-		// The node itself ended the read, so it says nothing about the store.
-		return
-	}
-	now := s.now()
-	ok := err == nil || errors.Is(err, infra.ErrOffsetOutOfRange)
-	s.metrics.observeRead(stream, ok, now.Sub(started))
-	if ok {
-		s.metrics.views.WithLabelValues(string(stream), "store").Inc()
-	} else if s.readings[stream].excuses(now) {
-		return
-	}
-	s.recordView(stream, now, err, ok)
-}
-
-// recordView records that the view of a stream was whole at a time, or that it could not be
-// learned because of err. It logs the start and end of a store outage.
-func (s *Server) recordView(stream infra.Stream, viewed time.Time, err error, ok bool) {
-	now := s.now()
-	s.mu.Lock()
-	state := s.streamState(stream)
-	away, wasFailing := now.Sub(state.lastRead), state.failing
-	state.failing = !ok
-	if ok {
-		if viewed.After(state.lastRead) {
-			state.lastRead = viewed
-		}
-		if wasFailing && stream == infra.StreamUpstreams {
-			s.directory.StoreRecovered(now)
-			// If the long reads were sent before the store stopped answering, they may
-			// get no answer although newer reads do.
-			s.streamState(infra.StreamConfig).cancelRead()
-			s.streamState(infra.StreamCrashes).cancelRead()
-		}
-	}
-	s.mu.Unlock()
-	switch {
-	case !ok && !wasFailing:
-		s.logger.Warn("store is unreachable", "stream", string(stream), "error", err.Error())
-	case ok && wasFailing:
-		s.logger.Info("store is reachable again", "stream", string(stream), "away_ms", away.Milliseconds())
-	}
-}
-
 // upstreamsAge returns the time since the upstreams were last read from the store.
 func (s *Server) upstreamsAge() time.Duration {
 	s.mu.Lock()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -99,7 +99,7 @@
 	entries := s.parseEntries(records)
 	s.mu.Lock()
 	s.upstreamsKnown = true
-	before := s.directory.Len()
+	before, deferredBefore := s.directory.Len(), s.directory.Deferred()
 	marks := s.newLeavingMarks(entries)
 	paced := s.observeWarmups(presentUpstreams(entries), all)
 	s.keepDraining(entries)
@@ -113,8 +113,11 @@
 	} else {
 		changed = s.applyEntries(now, entries)
 	}
-	after := s.directory.Len()
+	after, deferred := s.directory.Len(), s.directory.Deferred()
 	s.mu.Unlock()
+	if deferred > deferredBefore {
+		s.logger.Info("removal of upstreams is deferred after an outage of the store", "count", deferred, "before", deferredBefore)
+	}
 	for _, m := range marks {
 		s.logger.Info("upstream is leaving", "upstream", m.Host, "born", m.Incarnation, "source", "store")
 		s.memberStep(member.MarkObserved{Mark: m})
@@ -267,7 +270,8 @@
 		s.memberStep(member.Tick{})
 		now := s.now()
 		s.mu.Lock()
-		changed := s.directory.Expire(now)
+		expired := s.directory.Expire(now)
+		count := s.directory.Len()
 		peer := ""
 		if elder, ok := s.join.Ask(now, s.uptime(), s.group); ok {
 			peer = elder.Addr
@@ -278,7 +282,8 @@
 			peer = peers[int(now.UnixNano()/int64(peerFetchInterval))%len(peers)].Node().Addr
 		}
 		s.mu.Unlock()
-		if changed {
+		if expired > 0 {
+			s.logger.Info("upstreams changed", "count", count, "before", count+expired, "whole", false, "source", "grace period")
 			s.updateReducers()
 		}
 		if now.Sub(lastLimits) >= limitInterval {
