Show that upstreams that send without end do not end a host

A report of another operator: a faulty upstream sent bytes that were no answer, without end, in a head or in a body; the host that had called it kept them all, ran out of memory, and the requests of other clients ended with it. Whether that happens here was known only for parts of a host.

Test: TestHostEndedByEndlessUpstreams runs a real host process with 144 MiB, 300 clients for 4 s whose upstreams send heads, interim responses, bodies, refusals, extra bytes, chunk extensions, trailers, events or comments without end, and ten requests for a service that is sound.

--- a/memory/process_test.go
+++ b/memory/process_test.go
@@ -203,13 +203,22 @@
 
 // startHost starts a store, plain upstreams and an entry host, and waits until it is ready.
 func startHost(t *testing.T, binary string) *host {
+	t.Helper()
+	var workers []*stand.Worker
+	for i, service := range []string{stand.ServiceDesk, stand.ServiceDesk, stand.ServiceEngine} {
+		workers = append(workers, &stand.Worker{ID: fmt.Sprint(service, "-", i), Service: service, Zone: "a", Kind: stand.Plain, Slots: 1000, Delay: upstreamDelay})
+	}
+	return startHostWith(t, binary, workers)
+}
+
+// startHostWith is like startHost with other upstreams.
+func startHostWith(t *testing.T, binary string, workers []*stand.Worker) *host {
 	t.Helper()
 	store := &stand.Store{}
 	stand.PutConfig(store, 1)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	for i, service := range []string{stand.ServiceDesk, stand.ServiceDesk, stand.ServiceEngine} {
-		w := &stand.Worker{ID: fmt.Sprint(service, "-", i), Service: service, Zone: "a", Kind: stand.Plain, Slots: 1000, Delay: upstreamDelay}
+	for _, w := range workers {
 		if err := w.Start(store); err != nil {
 			t.Fatal(err)
 		}
