Do not take a node's own view as proof of the version that began a stream

What callers saw: streams that had begun at a new version through another node, and were taken up within 3 s at a node that was cut off meanwhile, went on at the old version (ORDER).

Cause: while records could not be read, the only version in a view of the upstreams up to 3 s old counted as that of all streams. Its age was taken before a lookup of up to 1.5 s.

Change: the node asks all others (Peer.Origin). The one that has sent the stream names its version; the only version counts only if all others have answered and know no other. A client that does not name the attempt gets the default version if no stream is recorded at another one.

--- a/proxy/event.go
+++ b/proxy/event.go
@@ -80,6 +80,8 @@
 		Default origin.Default
 		// ViewAge is the time since the node last read the upstreams.
 		ViewAge time.Duration
+		// Peers has what other nodes know. They are asked if the records cannot be read.
+		Peers PeerVersions
 	}
 	// StageDone reports the results of a stage.
 	StageDone struct {
--- a/proxy/origin.go
+++ b/proxy/origin.go
@@ -16,17 +16,29 @@
 	OriginUnknown OriginSource = ""
 	// OriginAnswer means that the stream began in the answer of the request itself.
 	OriginAnswer OriginSource = "answer"
-	// OriginOwn means that this node sent the stream, and OriginShared that another node
-	// did and recorded it.
+	// OriginOwn means that this node sent the stream, OriginShared that another node
+	// did and recorded it, and OriginPeer that another node did and was asked.
 	OriginOwn    OriginSource = "own"
 	OriginShared OriginSource = "shared"
-	// OriginOnly means that the service has had only one version lately.
+	OriginPeer   OriginSource = "peer"
+	// OriginOnly means that the service has had only one version lately, at all nodes that
+	// may have begun the stream.
 	OriginOnly OriginSource = "only version"
 	// OriginDefault means that the stream has no record, and so began at the default version
 	// of its service.
 	OriginDefault OriginSource = "default version"
 )
 
+// PeerVersions has the versions of a service that other nodes know. The zero value says nothing.
+type PeerVersions struct {
+	// Complete is true if all other nodes have answered, at least one, since the lookup began,
+	// and each has run for longer than the age of this node's view of the upstreams. A node that
+	// is not among them has ended before that view.
+	Complete bool
+	// Versions are those that the service has or had lately at one of them, sorted.
+	Versions []string
+}
+
 // A streamOrigin is the software version that began a stream. The zero value means that the
 // version is unknown.
 type streamOrigin struct {
--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -46,13 +46,20 @@
 }
 
 // onlyVersion returns the version of a service if all streams that clients may still resume
-// began with it, as this node has seen itself. It serves while the store cannot be read.
+// began with it. This node's own view does not show that, however new it is: another node may have
+// begun the stream at a version that came since. The nodes that may have done so must say that
+// they have seen no other version. It serves while the store cannot be read.
 func (n *Node) onlyVersion(now time.Time, service string, found OriginFound) (string, bool) {
 	versions := n.versions.Recent(now, service)
 	if len(versions) != 1 || !n.watchesVersions(now, found.ViewAge) {
 		return "", false
 	}
-	return versions[0], true
+	return versions[0], found.Peers.Complete && !slices.ContainsFunc(found.Peers.Versions, func(v string) bool { return v != versions[0] })
+}
+
+// RecentVersions returns the versions that a service has or had lately, sorted.
+func (n *Node) RecentVersions(now time.Time, service string) []string {
+	return n.versions.Recent(now, service)
 }
 
 // originOf returns the version that began a stream from the result of its lookup.
@@ -84,7 +91,7 @@
 	n.recordSince(now, r.arrived, r, trace.StreamResumed, ReasonUnknownOrigin, "first", r.Resumes, "last_event", r.LastEventID,
 		"service", r.service, "recorded_service", e.Record.Service, "versions", strings.Join(n.versions.Recent(now, r.service), " "),
 		"records_read", e.Complete, "default", e.Default.Version, "watched_ms", n.versions.Watched(now).Milliseconds(),
-		"view_age_ms", e.ViewAge.Milliseconds())
+		"view_age_ms", e.ViewAge.Milliseconds(), "peers_complete", e.Peers.Complete, "peers_versions", strings.Join(e.Peers.Versions, " "))
 	n.reply(now, r, http.StatusServiceUnavailable, ReasonUnknownOrigin, upstreamRetryAfter)
 }
 
--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -49,18 +49,33 @@
 // Guards against continuing a client's resumed stream with a version that did not begin
 // it, and against refusing one that can go on.
 func TestResumedByClient(t *testing.T) {
-	t.Run("only version of a host that cannot read", func(t *testing.T) {
+	onlyV1 := PeerVersions{Complete: true, Versions: []string{"v1"}}
+	t.Run("only version of all hosts", func(t *testing.T) {
 		h := newHarness(t)
 		h.watch("v1")
 		h.resume()
-		h.step(OriginFound{Number: h.number, ViewAge: time.Second})
+		h.step(OriginFound{Number: h.number, ViewAge: time.Second, Peers: onlyV1})
 		h.wantSent("v1")
 	})
+	for name, peers := range map[string]PeerVersions{
+		"that reaches no other":               {},
+		"that does not reach all others":      {Versions: []string{"v1"}},
+		"while another one has seen a second": {Complete: true, Versions: []string{"v1", "v2"}},
+		"while another one has seen another":  {Complete: true, Versions: []string{"v2"}},
+	} {
+		t.Run("only version of a host "+name, func(t *testing.T) {
+			h := newHarness(t)
+			h.watch("v1")
+			h.resume()
+			h.step(OriginFound{Number: h.number, Peers: peers})
+			h.wantRefused(ReasonUnknownOrigin)
+		})
+	}
 	t.Run("only version of a host that has read nothing for some time", func(t *testing.T) {
 		h := newHarness(t)
 		h.watch("v1")
 		h.resume()
-		h.step(OriginFound{Number: h.number, ViewAge: 2 * maxViewAge})
+		h.step(OriginFound{Number: h.number, ViewAge: 2 * maxViewAge, Peers: onlyV1})
 		h.wantRefused(ReasonUnknownOrigin)
 	})
 	t.Run("only version of a host whose view had a gap", func(t *testing.T) {
@@ -69,11 +84,11 @@
 		h.step(DefaultsTick{ViewAge: 2 * maxViewAge})
 		h.now = h.now.Add(origin.Window / 2)
 		h.resume()
-		h.step(OriginFound{Number: h.number})
+		h.step(OriginFound{Number: h.number, Peers: onlyV1})
 		h.wantRefused(ReasonUnknownOrigin)
 		h.now = h.now.Add(origin.Window / 2)
 		h.resume()
-		h.step(OriginFound{Number: h.number})
+		h.step(OriginFound{Number: h.number, Peers: onlyV1})
 		h.wantSent("v1")
 	})
 	t.Run("known version", func(t *testing.T) {
@@ -124,7 +139,7 @@
 		h := newHarness(t)
 		h.watch("v1", "v1")
 		h.resume()
-		h.step(OriginFound{Number: h.number})
+		h.step(OriginFound{Number: h.number, Peers: onlyV1})
 		h.wantSent("v1")
 	})
 	t.Run("another node has seen a new version earlier", func(t *testing.T) {
--- a/relay/left_test.go
+++ b/relay/left_test.go
@@ -22,17 +22,22 @@
 // readEvents returns a reader of as many events as there are.
 func readEvents(count int) answerReader {
 	return func(r *http.Response) error {
-		var read strings.Builder
-		buffer := make([]byte, 1)
-		for strings.Count(read.String(), "\n\n") < count {
-			n, err := r.Body.Read(buffer)
-			read.Write(buffer[:n])
-			if err != nil {
-				return err
-			}
+		var read string
+		return readEventsInto(&read, r, count)
+	}
+}
+
+// readEventsInto adds as many events of an answer as there are to what was read.
+func readEventsInto(read *string, r *http.Response, count int) error {
+	buffer := make([]byte, 1)
+	for strings.Count(*read, "\n\n") < count {
+		n, err := r.Body.Read(buffer)
+		*read += string(buffer[:n])
+		if err != nil {
+			return err
 		}
-		return nil
 	}
+	return nil
 }
 
 // leave sends a request to a node, reads a part of the answer and closes the connection.
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -181,7 +181,7 @@
 
 // resume resumes a broken stream at a node. As clients do, it waits and tries again
 // after a refusal.
-func (d *deployment) resume(n *testNode, s brokenStream) result {
+func (d *deployment) resume(n *testNode, s brokenStream, change ...func(*http.Request)) result {
 	const tries = 6
 	var r result
 	for try := range tries {
@@ -189,6 +189,9 @@
 			stand.SetPrefix(r, s.id)
 			stand.SetDeadline(r, routeTimeout)
 			stand.SetResume(r, s.id, s.lastEventID)
+			for _, c := range change {
+				c(r)
+			}
 		})
 		if r.err != nil || r.status != http.StatusServiceUnavailable {
 			return r
--- a/server/peers.go
+++ b/server/peers.go
@@ -133,6 +133,11 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "node reads its streams itself")
 }
 
+// Origin is not served: streams of the project's own interface are not resumed.
+func (p peerService) Origin(context.Context, *peerpb.OriginRequest) (*peerpb.OriginReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "node resumes no streams")
+}
+
 // Forward runs a call that another node forwards to this one.
 func (p peerService) Forward(ctx context.Context, m *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
 	s := p.server
--- a/share/defaults_test.go
+++ b/share/defaults_test.go
@@ -79,9 +79,29 @@
 			t.Errorf("default versions are %+v, want that of the first write", got)
 		}
 	})
-	t.Run("a client that does not name the attempt", func(t *testing.T) {
-		_, o := newOriginsAt(t, &fakeLog{})
+	for _, c := range []struct {
+		name     string
+		recorded []origin.Record
+		want     origin.Default
+	}{
+		{"no stream is recorded", nil, engineDefault("v1")},
+		{"streams are recorded at the default", []origin.Record{{ID: "a", Service: "engine", Version: "v1"}}, engineDefault("v1")},
+		{"streams of another service are recorded", []origin.Record{{ID: "a", Service: "other", Version: "v2"}}, engineDefault("v1")},
+		{"a stream is recorded at another version", []origin.Record{{ID: "a", Service: "engine", Version: "v2"}}, origin.Default{}},
+	} {
+		t.Run("a client that does not name the attempt, "+c.name, func(t *testing.T) {
+			_, o := newOriginsAt(t, &fakeLog{records: c.recorded})
+			o.WriteDefaults(proxy.WriteDefaults{Defaults: []origin.Default{engineDefault("v1")}})
+			if got := findStream(t, o, ""); !got.Complete || got.Default != c.want {
+				t.Errorf("outcome is %+v, want a complete one with the default %+v", got, c.want)
+			}
+		})
+	}
+	t.Run("a client that does not name the attempt, records cannot be read", func(t *testing.T) {
+		l := &fakeLog{}
+		_, o := newOriginsAt(t, l)
 		o.WriteDefaults(proxy.WriteDefaults{Defaults: []origin.Default{engineDefault("v1")}})
+		l.set(func(l *fakeLog) { l.down = true })
 		if got := findStream(t, o, ""); got.Complete || got.Default != (origin.Default{}) {
 			t.Errorf("outcome is %+v, want an incomplete one", got)
 		}
--- a/share/lookup.go
+++ b/share/lookup.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"teaselplank/infra"
@@ -36,15 +37,13 @@
 }
 
 // Find looks up the record of a stream: first among the streams that this node has sent,
-// then in the records of all nodes. While these or the default versions cannot be read, it
-// reads them again until the time of the lookup is over.
+// then in the records of all nodes. While these or the default versions cannot be read, it asks
+// the other nodes, and reads them again until the time of the lookup is over.
 func (o *Origins) Find(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound {
-	viewAge := o.host.UpstreamsAge()
 	ctx, cancel := context.WithTimeout(ctx, e.Wait)
 	defer cancel()
 	found, ok := o.recordOf(e, &o.own, proxy.OriginOwn)
-	// A stream whose client does not say which attempt began it may have a record.
-	for nameless := e.ID == ""; !ok && !nameless; {
+	for !ok {
 		look, err := o.look(ctx, e)
 		wait := lookupPause
 		if err == nil {
@@ -54,16 +53,25 @@
 			// A read that fails after a whole one does not make the records unknown.
 			found = look
 		}
-		ok = found.Source != proxy.OriginUnknown || found.Default.Service != "" || errors.Is(err, errNoOriginLog) || !pause(ctx, wait)
+		if err != nil && !found.Complete {
+			found = o.host.AskPeers(ctx, e)
+		}
+		ok = isConclusive(found) || errors.Is(err, errNoOriginLog) || !pause(ctx, wait)
 		if ok && err != nil {
 			o.logger.Warn("versions of streams are not read", "error", err.Error())
 		}
 	}
-	found.ViewAge = viewAge
+	found.ViewAge = o.host.UpstreamsAge()
 	o.host.CountLookup(resultOf(found))
 	return found
 }
 
+// isConclusive reports whether further reads would add nothing to the result of a lookup.
+func isConclusive(found proxy.OriginFound) bool {
+	onlyVersion := found.Peers.Complete && len(found.Peers.Versions) == 1
+	return found.Source != proxy.OriginUnknown || found.Default.Service != "" || onlyVersion
+}
+
 // resultOf returns the result of a lookup in the metrics.
 func resultOf(found proxy.OriginFound) string {
 	switch {
@@ -92,6 +100,10 @@
 	}
 	found, _ := o.recordOf(e, &o.shared, proxy.OriginShared)
 	found.Complete, found.Default = true, o.defaultOf(e.Service)
+	if e.ID == "" && o.hasOtherRecord(e.Service, found.Default.Version) {
+		// The client does not say which attempt began the stream. It may be that record's.
+		found.Default = origin.Default{}
+	}
 	return found, nil
 }
 
@@ -108,6 +120,22 @@
 	return origin.Default{}
 }
 
+// hasOtherRecord reports whether another node has recorded a stream of a service at another
+// version than the given one.
+func (o *Origins) hasOtherRecord(service, version string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	other := func(r origin.Record) bool { return r.Service == service && r.Version != version }
+	return slices.ContainsFunc(o.shared.All(o.host.Now()), other)
+}
+
+// Own returns the record of a stream that this node has sent, and its age.
+func (o *Origins) Own(id string) (r origin.Record, age time.Duration, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.own.Get(o.host.Now(), id)
+}
+
 // recordOf returns the record of a stream from a memory, if it is there.
 func (o *Origins) recordOf(e proxy.FindOrigin, m *origin.Memory, source proxy.OriginSource) (proxy.OriginFound, bool) {
 	o.mu.Lock()
--- a/share/origins.go
+++ b/share/origins.go
@@ -44,6 +44,9 @@
 	ObserveEpoch(epoch infra.Epoch)
 	// UpstreamsAge returns how long ago the upstreams were last read.
 	UpstreamsAge() time.Duration
+	// AskPeers asks the other nodes for the version that began a stream. It returns the record
+	// of the one that sent the stream, or the versions that they know.
+	AskPeers(ctx context.Context, e proxy.FindOrigin) proxy.OriginFound
 	// CountShared counts records that were appended to the log ("ok"), could not be
 	// ("failed") or were discarded ("dropped").
 	CountShared(result string, records int)
--- a/share/origins_test.go
+++ b/share/origins_test.go
@@ -93,6 +93,10 @@
 func (h *fakeHost) UpstreamsAge() time.Duration { return 0 }
 func (h *fakeHost) CountLookup(string)          {}
 
+func (h *fakeHost) AskPeers(_ context.Context, e proxy.FindOrigin) proxy.OriginFound {
+	return proxy.OriginFound{Number: e.Number}
+}
+
 func (h *fakeHost) ObserveEpoch(epoch infra.Epoch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
