--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	go test -run xxx -fuzz FuzzParseUpstream $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzParseStageResponse $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzParseLoad $(FUZZ_FLAGS) ./platform
+	go test -run xxx -fuzz FuzzParseRequest $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzDecodeLog $(FUZZ_FLAGS) ./platform
 	go test -run xxx -fuzz FuzzEvents $(FUZZ_FLAGS) ./events
 
--- a/batch/event.go
+++ b/batch/event.go
@@ -15,11 +15,15 @@
 	Run int
 }
 
+// MaxJobPieces bounds the pieces of a job. Whoever decodes a number of pieces checks it: the
+// estimates of a job are products of it.
+const MaxJobPieces = 1 << 16
+
 // A Job is the work of one stage of one request.
 type Job struct {
 	Ref     Ref
 	Service string
-	// Pieces is the number of pieces; at least 1.
+	// Pieces is the number of pieces, from 1 to MaxJobPieces.
 	Pieces int
 	// ResultBytes is the approximate size of the result of one piece.
 	ResultBytes int64
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"teaselplank/batch"
 	"teaselplank/member"
 	"teaselplank/peerpb"
@@ -221,12 +224,29 @@
 	return job
 }
 
+// checkPieces checks the numbers of pieces in a message, which another program may have sent.
+func checkPieces(m *peerpb.JobMessage) error {
+	counts := []int32{m.GetPieces()}
+	for _, need := range m.GetAhead() {
+		counts = append(counts, need.GetPieces())
+	}
+	for _, count := range counts {
+		if count < 0 || count > batch.MaxJobPieces {
+			return fmt.Errorf("%d is not a number of pieces from 0 to %d", count, batch.MaxJobPieces)
+		}
+	}
+	return nil
+}
+
 // stageService implements peerpb.Stages for other nodes.
 type stageService struct{ server *Server }
 
 // Run runs a stage of another node's request.
 func (t stageService) Run(ctx context.Context, m *peerpb.JobMessage) (*peerpb.JobReply, error) {
 	s := t.server
+	if err := checkPieces(m); err != nil {
+		return nil, twirp.InvalidArgumentError("pieces", err.Error())
+	}
 	reply := &peerpb.JobReply{}
 	switch e := s.owner.run(ctx, jobOf(s.now(), m)).(type) {
 	case batch.Done:
