--- a/review/lab-2/born.go
+++ b/review/lab-2/born.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// clockStep is by how much the time of day of the worker's machine jumps back.
+	// clockStep is by how much the time of day of the worker's machine is ahead at first.
 	clockStep = 2400 * time.Millisecond
 	// firstTime is how long the worker's first process lives, and downTime how long it is down.
 	firstTime = 800 * time.Millisecond
@@ -20,10 +20,13 @@
 	// drainTime is how long after that it may still get requests, and servesOn how long it serves.
 	drainTime = 2 * time.Second
 	servesOn  = 7 * time.Second
+	// otherDesks is the number of workers beside the one that leaves. Together they have too few
+	// slots for all requests.
+	otherDesks = 3
 	// orderInterval is the time between two requests of the clients.
-	orderInterval = 20 * time.Millisecond
+	orderInterval = 10 * time.Millisecond
 	// orderWork is how long a worker works on a request.
-	orderWork = 150 * time.Millisecond
+	orderWork = 200 * time.Millisecond
 )
 
 // A desk is a worker whose processes the case starts and ends itself.
@@ -106,17 +109,19 @@
 	return count, last
 }
 
-// playBorn has a worker that crashes soon after its start and starts again under its id, while the
-// time of day of its machine jumps back. It then announces that it leaves, and may get requests
-// for the drain time only.
+// playBorn has a worker that starts while the time of day of its machine is ahead, crashes soon after
+// that and starts again under its id, once the time has jumped back. It then announces that it
+// leaves, and may get requests for the drain time only.
 func playBorn(l *lab) (bool, error) {
-	other := &desk{lab: l, entry: &worker{id: "desk-2", service: serviceDesk, zone: "b", slots: 6, store: l.store, state: "ready"}}
-	leaving := &desk{lab: l, entry: &worker{id: "desk-1", service: serviceDesk, zone: "a", slots: 6, store: l.store, state: "ready"}}
-	if err := other.serve(); err != nil {
-		return false, err
+	for i := range otherDesks {
+		d := &desk{lab: l, entry: &worker{id: fmt.Sprint("desk-", i+2), service: serviceDesk, zone: string(rune('a' + i%2)), slots: 6, store: l.store, state: "ready"}}
+		if err := d.serve(); err != nil {
+			return false, err
+		}
+		d.entry.born = time.Now().UnixMilli()
+		d.entry.beat()
 	}
-	other.entry.born = time.Now().UnixMilli()
-	other.entry.beat()
+	leaving := &desk{lab: l, entry: &worker{id: "desk-1", service: serviceDesk, zone: "a", slots: 6, store: l.store, state: "ready"}}
 	if err := l.startHosts(2, 284, 4100); err != nil {
 		return false, err
 	}
@@ -128,7 +133,11 @@
 	if err := leaving.serve(); err != nil {
 		return false, err
 	}
-	leaving.entry.born = time.Now().UnixMilli()
+	born := time.Now()
+	if l.trouble {
+		born = born.Add(clockStep)
+	}
+	leaving.entry.born = born.UnixMilli()
 	leaving.entry.beat()
 	l.log("desk-1 starts at %s, born %d", leaving.entry.addr, leaving.entry.born)
 	time.Sleep(firstTime)
@@ -140,11 +149,7 @@
 		return false, err
 	}
 	restarted := time.Now()
-	born := restarted
-	if l.trouble {
-		born = born.Add(-clockStep)
-	}
-	leaving.entry.restart(born.UnixMilli())
+	leaving.entry.restart(restarted.UnixMilli())
 	l.log("desk-1 starts again at %s, born %d", leaving.entry.addr, leaving.entry.born)
 	time.Sleep(settleTime)
 
