fleet: put a version in force although stages are listed late

What callers saw: a version that took a key away and added a route whose first stage needs the results of its second was refused as a whole.

Cause: platform.ParseConfig demanded that a stage need only stages with a lower number and returned the first error of any route for the whole document.

Change: fleet.Route.StageOrder sorts the requested stages topologically, and the forecast of later stages uses that order. A route that is not valid (stages that can never run, an unknown type) concerns its own requests only: they are answered 503 at once, the rest of the version is in force, and a log line and a counter name the route. check takes the order for the least time of the stages, too.

The tests of ParseConfig keep their expectation of an error for such routes; the error now comes with the configuration.

--- a/check/check.go
+++ b/check/check.go
@@ -165,11 +165,10 @@
 func (c *checker) stageTime(r *fleet.Route) time.Duration {
 	ends := make([]time.Duration, len(r.Stages))
 	var last time.Duration
-	for i, stage := range r.Stages {
+	for _, i := range r.StageOrder(func(int) bool { return true }) {
+		stage := r.Stages[i]
 		for _, before := range stage.After {
-			if before >= 0 && before < i {
-				ends[i] = max(ends[i], ends[before])
-			}
+			ends[i] = max(ends[i], ends[before])
 		}
 		if s := c.services[stage.Service]; s != nil && s.Batch != nil {
 			ends[i] += s.Batch.CallTime + s.Batch.PieceTime
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -44,15 +44,19 @@
 		"weight 0": {func(c *fleet.Config) {
 			c.Routes[0].Targets = append(c.Routes[0].Targets, fleet.Target{Service: "engine"})
 		}, Unreachable, `route "plain"`},
-		"shadowed route":      {func(c *fleet.Config) { c.Routes[1].Prefix = "/plain/" }, Unreachable, `route "chat"`},
-		"prefix":              {func(c *fleet.Config) { c.Routes[0].Prefix = "plain/" }, Unreachable, `route "plain"`},
-		"port in host name":   {func(c *fleet.Config) { c.Routes[0].Host = "h:80" }, Unreachable, `route "plain"`},
-		"name used twice":     {func(c *fleet.Config) { c.Routes[1].Name = "plain" }, Invalid, `route "plain"`},
-		"unused service":      {func(c *fleet.Config) { c.Services = append(c.Services, fleet.Service{Name: "x"}) }, Unreachable, `service "x"`},
-		"service twice":       {func(c *fleet.Config) { c.Services = append(c.Services, fleet.Service{Name: "desk"}) }, Unreachable, `service "desk"`},
-		"engine and stage":    {func(c *fleet.Config) { c.Services[2].Engine = true }, Contradiction, `service "encode"`},
-		"results too large":   {func(c *fleet.Config) { c.Routes[1].Stages[1].ResultBytes = 1001 }, Contradiction, `route "chat"`},
-		"stages take longer":  {func(c *fleet.Config) { c.Routes[1].Objective = 420 * time.Millisecond }, Contradiction, `route "chat"`},
+		"shadowed route":     {func(c *fleet.Config) { c.Routes[1].Prefix = "/plain/" }, Unreachable, `route "chat"`},
+		"prefix":             {func(c *fleet.Config) { c.Routes[0].Prefix = "plain/" }, Unreachable, `route "plain"`},
+		"port in host name":  {func(c *fleet.Config) { c.Routes[0].Host = "h:80" }, Unreachable, `route "plain"`},
+		"name used twice":    {func(c *fleet.Config) { c.Routes[1].Name = "plain" }, Invalid, `route "plain"`},
+		"unused service":     {func(c *fleet.Config) { c.Services = append(c.Services, fleet.Service{Name: "x"}) }, Unreachable, `service "x"`},
+		"service twice":      {func(c *fleet.Config) { c.Services = append(c.Services, fleet.Service{Name: "desk"}) }, Unreachable, `service "desk"`},
+		"engine and stage":   {func(c *fleet.Config) { c.Services[2].Engine = true }, Contradiction, `service "encode"`},
+		"results too large":  {func(c *fleet.Config) { c.Routes[1].Stages[1].ResultBytes = 1001 }, Contradiction, `route "chat"`},
+		"stages take longer": {func(c *fleet.Config) { c.Routes[1].Objective = 420 * time.Millisecond }, Contradiction, `route "chat"`},
+		"listed in reverse": {func(c *fleet.Config) {
+			c.Routes[1].Stages[0].After, c.Routes[1].Stages[1].After = []int{1}, nil
+			c.Routes[1].Objective = 420 * time.Millisecond
+		}, Contradiction, `route "chat"`},
 		"stages and timeout":  {func(c *fleet.Config) { c.Routes[1].Timeout = 400 * time.Millisecond }, Contradiction, `route "chat"`},
 		"objective, timeout":  {func(c *fleet.Config) { c.Routes[0].Objective = 2 * time.Second }, Contradiction, `route "plain"`},
 		"no timeout":          {func(c *fleet.Config) { c.Routes[0].Timeout = 0 }, Invalid, `route "plain"`},
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -29,6 +29,9 @@
 	Stream Kind = "stream"
 )
 
+// IsKnown reports whether the kind is one of those above.
+func (k Kind) IsKnown() bool { return k == Safe || k == Unsafe || k == Stream }
+
 // A Config is one version of the configuration.
 type Config struct {
 	Version  int64
@@ -48,8 +51,7 @@
 	Kind   Kind
 	// Targets are the services that share the requests.
 	Targets []Target
-	// Stages run before the request is sent. A stage depends only on stages
-	// that precede it in the list.
+	// Stages run before the request is sent, in the order that StageOrder returns.
 	Stages []Stage
 	// Timeout is the maximum time until the final answer.
 	Timeout time.Duration
--- a/proxy/estimate.go
+++ b/proxy/estimate.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"teaselplank/batch"
@@ -110,17 +111,13 @@
 }
 
 // downstreamStages returns the stages that depend on a stage, directly or indirectly,
-// in their order.
-func (n *Node) downstreamStages(r *request, stage int) []batch.DownstreamStage {
-	downstream := make([]bool, len(r.route.Stages))
-	downstream[stage] = true
+// in the order in which they run.
+func (r *request) downstreamStages(stage int) []batch.DownstreamStage {
+	downstream := r.route.Downstream(stage)
 	var list []batch.DownstreamStage
-	for i, s := range r.route.Stages {
-		for _, predecessor := range s.After {
-			downstream[i] = downstream[i] || downstream[predecessor]
-		}
-		if i > stage && downstream[i] && r.pieces(i) > 0 {
-			list = append(list, batch.DownstreamStage{Stage: i, Service: s.Service, Pieces: r.pieces(i)})
+	for _, i := range r.stageOrder[slices.Index(r.stageOrder, stage)+1:] {
+		if downstream[i] {
+			list = append(list, batch.DownstreamStage{Stage: i, Service: r.route.Stages[i].Service, Pieces: r.pieces(i)})
 		}
 	}
 	return list
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -498,6 +498,7 @@
 	ReasonUnrecorded     Reason = "version of the stream cannot be recorded"
 	ReasonLimit          Reason = "upstreams are at their limits"
 	ReasonPoison         Reason = "a part of the request crashes upstreams"
+	ReasonInvalidRoute   Reason = "the route is not valid"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -339,6 +340,42 @@
 			t.Errorf("released results are %+v, want h1", released)
 		}
 	})
+	t.Run("a stage needs a later one", func(t *testing.T) {
+		h := newHarness(t)
+		c := testConfig()
+		c.Version = 2
+		stages := c.Routes[2].Stages
+		c.Routes[2].Stages = []fleet.Stage{{Service: "second", After: []int{1}, ResultBytes: 10}, stages[0]}
+		h.step(Configured{Table: fleet.NewTable(c)})
+		h.arrive("/stream/1", 3, 2)
+		first := find[RunStage](h).Job
+		if want := []batch.DownstreamStage{{Stage: 0, Service: "second", Pieces: 3}}; first.Ref.Stage != 1 || !slices.Equal(first.Downstream, want) {
+			t.Errorf("stage %d runs first, followed by %+v, want 1 followed by %+v", first.Ref.Stage, first.Downstream, want)
+		}
+		if !first.Due.Before(first.StagesDue) {
+			t.Errorf("stage 1 is due at %s, as late as all stages", first.Due)
+		}
+		h.stageDone(1, "a", "h1", "h2")
+		next := find[RunStage](h).Job
+		if next.Ref.Stage != 0 || !slices.Equal(next.Inputs, []string{"h1", "h2"}) || len(next.Downstream) > 0 {
+			t.Errorf("job is %+v, want stage 0 with the inputs h1 and h2", next)
+		}
+		h.stageDone(0, "a", "h3")
+		if s := find[Send](h); !slices.Equal(s.Inputs, []string{"h3"}) {
+			t.Errorf("request is sent with inputs %v, want h3", s.Inputs)
+		}
+	})
+	t.Run("stages that can never run", func(t *testing.T) {
+		h := newHarness(t)
+		c := testConfig()
+		c.Version = 2
+		c.Routes[2].Stages = []fleet.Stage{{Service: "second", After: []int{1}}, {Service: "first", After: []int{0}}}
+		h.step(Configured{Table: fleet.NewTable(c)})
+		h.arrive("/stream/1", 1, 1)
+		h.wantReply(http.StatusServiceUnavailable, ReasonInvalidRoute)
+		h.arrive("/stream/1", 0, 0)
+		find[Send](h)
+	})
 	t.Run("results that are still held are not made again", func(t *testing.T) {
 		h := newHarness(t)
 		h.arrive("/stream/1", 2, 1)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -58,6 +58,8 @@
 	due      time.Time
 	deadline time.Time
 	stages   []stageState
+	// stageOrder holds the stages that have pieces, in an order in which they can run.
+	stageOrder []int
 	// homeZone is the zone of the engine that the request is likely to go to. dataZone
 	// is the zone that holds most bytes of its stage results, initially homeZone; its
 	// stages run there if possible.
@@ -138,6 +140,8 @@
 	configRetryAfter   = 500 * time.Millisecond
 	upstreamRetryAfter = 400 * time.Millisecond
 	busyRetryAfter     = 150 * time.Millisecond
+	// invalidRouteRetryAfter is long, as only the operator can mend a route.
+	invalidRouteRetryAfter = 10 * time.Second
 )
 
 // arrive checks a request against the configuration and admits or rejects it.
@@ -163,6 +167,11 @@
 		n.reply(now, r, http.StatusServiceUnavailable, ReasonNoConfig, configRetryAfter)
 		return
 	}
+	r.stageOrder = r.route.StageOrder(func(stage int) bool { return r.pieces(stage) > 0 })
+	if !r.isServable() {
+		n.reply(now, r, http.StatusServiceUnavailable, ReasonInvalidRoute, invalidRouteRetryAfter)
+		return
+	}
 	r.service = r.route.Target(targetID(q))
 	r.whole = n.wholeParts(r)
 	r.stages = make([]stageState, len(r.route.Stages))
@@ -189,6 +198,17 @@
 	n.start(now, r)
 }
 
+// isServable reports whether the kind of the request is known and all of its stages can run.
+func (r *request) isServable() bool {
+	requested := 0
+	for i := range r.route.Stages {
+		if r.pieces(i) > 0 {
+			requested++
+		}
+	}
+	return r.route.Kind.IsKnown() && len(r.stageOrder) == requested
+}
+
 // start starts the stages of a request, or sends it.
 func (n *Node) start(now time.Time, r *request) {
 	n.chooseHomeZone(now, r)
--- a/proxy/stages.go
+++ b/proxy/stages.go
@@ -44,7 +44,7 @@
 	job := batch.Job{
 		Ref: batch.Ref{Request: r.ID, Stage: i, Run: r.restarts}, Service: s.Service, Pieces: r.pieces(i),
 		ResultBytes: s.ResultBytes, Zone: r.dataZone, Deadline: deadline, Rank: r.rank, Account: r.account,
-		Started: n.workStarted(r), Downstream: n.downstreamStages(r, i),
+		Started: n.workStarted(r), Downstream: r.downstreamStages(i),
 	}
 	// The client may time out before the request is due.
 	end := r.due
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,7 +36,8 @@
 
 // A Protocol translates the messages of a deployment.
 type Protocol interface {
-	// ParseConfig decodes the operator's configuration.
+	// ParseConfig decodes the operator's configuration. A *fleet.InvalidRoutesError means that
+	// the configuration is valid but for the routes that it lists.
 	ParseConfig(data []byte) (fleet.Config, error)
 	// ParseEvacuation checks the value of a record that evacuates a zone.
 	ParseEvacuation(data []byte) error
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -65,7 +66,8 @@
 // applyConfig puts a configuration in force if it is newer than the current one.
 func (s *Server) applyConfig(document []byte, source string) {
 	config, err := s.protocol.ParseConfig(document)
-	if err != nil {
+	var invalid *fleet.InvalidRoutesError
+	if err != nil && !errors.As(err, &invalid) {
 		s.logger.Error("configuration is not valid", "source", source, "error", err.Error())
 		s.metrics.countInvalid("config")
 		return
@@ -75,9 +77,22 @@
 		return
 	}
 	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
+	s.reportInvalidRoutes(config.Version, invalid)
 	s.memberStep(member.SelfUpdated{Version: config.Version})
 }
 
+// reportInvalidRoutes logs and counts the routes of a configuration in force that are not valid.
+// There are none if the error is nil.
+func (s *Server) reportInvalidRoutes(version int64, invalid *fleet.InvalidRoutesError) {
+	if invalid == nil {
+		return
+	}
+	for _, r := range invalid.Routes {
+		s.logger.Error("route is not valid", "version", version, "route", r.Route, "error", r.Reason)
+		s.metrics.countInvalid("route")
+	}
+}
+
 // useConfig passes a configuration to the reducers if it is newer than the current one,
 // and returns the version of that one.
 func (s *Server) useConfig(c configuration) (before int64, newer bool) {
