proxy: answer 502 where an upstream refuses without proof

What callers saw: a worker ran a charge and answered 503 without X-Teaselplank-Not-Executed. The same with 429 and 408, and for streams that must run once.

Cause: headReceived passed on every status that does not state "not run", although 408, 429 and 503 state it to the client.

Change: a request that must run once and is refused without proof ends with 502, without the seal, and a log line names the upstream and its status.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -235,6 +235,10 @@
 		return
 	}
 	r.setExecuted(a, true)
+	if !r.route.Retryable() && promisesNotExecuted(e.Head.Status) {
+		n.refusedWithoutProof(now, r, a, e.Head.Status)
+		return
+	}
 	if e.Head.Status >= http.StatusInternalServerError || r.responseStarted && e.Head.Status != http.StatusOK {
 		u.recordFailure()
 		n.observe(now, a, pace.Failed)
@@ -244,6 +248,34 @@
 	n.deliver(r, a)
 }
 
+// promisesNotExecuted reports whether a status tells a client that its request was not executed,
+// and that it may send the request again.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// refusedWithoutProof ends a request that must not be executed twice, after an upstream has
+// returned a status that promises more than its response states: the upstream may have executed
+// the request.
+func (n *Node) refusedWithoutProof(now time.Time, r *request, a *attempt, status int) {
+	outcome := pace.Answered
+	if status >= http.StatusInternalServerError {
+		a.upstream.recordFailure()
+		outcome = pace.Failed
+	}
+	n.observe(now, a, outcome)
+	n.showSound(now, r.whole)
+	n.recordSince(now, a.sentAt, r, trace.AttemptFailed, "", "failure", string(RefusalUnproven), "attempt", a.number,
+		"upstream", a.upstream.ID, "status", status)
+	n.endAttempt(r, a)
+	r.lastFailure = RefusalUnproven
+	n.fail(now, r, ReasonRefusalUnproven, 0)
+}
+
 // errorReceived retries a request after an upstream has returned an error. If that is
 // not possible, it forwards the error, unless a stalled attempt may still have a response
 // or the client already has part of one.
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -325,6 +325,9 @@
 	ResponseTimeout Failure = "silent"
 	// ResponseTooLong means that the response exceeded a bound, as one without end does.
 	ResponseTooLong Failure = "overlong"
+	// RefusalUnproven means that the upstream refused the request without stating that it has
+	// not executed it.
+	RefusalUnproven Failure = "unproven"
 )
 
 // Unsent reports whether nothing was sent to the upstream.
@@ -499,6 +502,8 @@
 	ReasonLimit          Reason = "upstreams are at their limits"
 	ReasonPoison         Reason = "a part of the request crashes upstreams"
 	ReasonInvalidRoute   Reason = "the route is not valid"
+	// ReasonRefusalUnproven means that a refusal does not state that the request was not executed.
+	ReasonRefusalUnproven Reason = "upstream refused and may have executed"
 )
 
 // A DecisionRecord is a decision on a request. Attrs are the values that it was based
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -182,6 +183,14 @@
 		h.respond(1, http.StatusInternalServerError, false)
 		find[Deliver](h)
 	})
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint("refused without a statement, ", status), func(t *testing.T) {
+			h := newHarness(t)
+			h.arrive("/unsafe/1")
+			h.respond(1, status, false)
+			h.wantReply(http.StatusBadGateway, ReasonRefusalUnproven)
+		})
+	}
 	t.Run("deadline passes during the attempt", func(t *testing.T) {
 		h := newHarness(t)
 		h.arrive("/unsafe/1")
