conns: end an attempt at a status that is neither interim nor final

What callers saw: a worker answered with the status 000, 099, +20 or 101. Requests waited until their deadline (504 after 3.0 s) or the silence limit (1.35 s), and where bytes that look like an answer followed, clients got these as a sealed 200, on unsafe routes, too. Results of another request written there became those of a stage.

Cause: RoundTrip skipped every head with a status below 200 as an interim response.

Change: only 100 and 102 to 199 are skipped; any other status below 200 fails the attempt at once as "crossed", and its connection is closed. Interim responses are still skipped (TestInterimResponses).

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"teaselplank/fleet"
+	"teaselplank/wire"
 )
 
 // A Pool holds the connections to upstreams. Create it with NewPool.
@@ -356,9 +357,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, c.SetDeadline(time.Time{})
+		if wire.IsInterim(response.StatusCode) {
+			continue
 		}
+		if err := wire.CheckFinal(response.StatusCode); err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		return response, c.SetDeadline(time.Time{})
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -17,6 +17,7 @@
 	"teaselplank/fleet"
 	"teaselplank/proxy"
 	"teaselplank/stall"
+	"teaselplank/wire"
 )
 
 // An attempt is one try to get the answer of a request from an upstream. A goroutine of
@@ -272,7 +273,7 @@
 	switch {
 	case errors.Is(err, conns.ErrTooLong), errors.Is(err, events.ErrTooLong):
 		return proxy.ResponseTooLong
-	case errors.Is(err, events.ErrInvalid):
+	case errors.Is(err, events.ErrInvalid), errors.Is(err, wire.ErrInvalidStatus):
 		return proxy.ResponseMismatch
 	case isTimeout(err):
 		return proxy.ResponseTimeout
