server: fail an attempt whose answer has no valid status

What callers saw, on the project's own interface: a service answered with the status 000, and the caller got 200 with its body; 099 and +20 closed the caller's connection, 101 was passed on.

Cause: callService passed on every status but 412, 429 and those from 500 on; 0 then counts as none and becomes 200, and WriteHeader panics below 100.

Change: sendCall fails an attempt whose status is below 200 as a response that does not match, so that a call that may be repeated is sent again, and another one counts as possibly run.

--- a/server/attempt.go
+++ b/server/attempt.go
@@ -79,6 +79,11 @@
 	var connected atomic.Bool
 	clientTrace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	response, err := client.Do(r.WithContext(httptrace.WithClientTrace(ctx, clientTrace)))
+	if err == nil && wire.CheckFinal(response.StatusCode) != nil {
+		response.Body.Close()
+		s.reportFailure(e, pipe.ResponseMismatch, 0)
+		return nil
+	}
 	if err == nil {
 		s.reportLeaving(e.Worker, response)
 		return response
--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -32,8 +32,14 @@
 	tb.Helper()
 	upstreamServer := httptest.NewServer(fake.NewUpstream(fake.UpstreamConfig{Slots: 64, Latency: latency}).Handler())
 	tb.Cleanup(upstreamServer.Close)
+	return startTestServerAt(tb, upstreamServer.Listener.Addr().String())
+}
+
+// startTestServerAt starts a node in this process whose only upstream has an address, and returns
+// it once it is ready.
+func startTestServerAt(tb testing.TB, upstreamAddr string) *Server {
+	tb.Helper()
 	platform := fake.NewPlatform(fake.PlatformConfig{})
-	upstreamAddr := upstreamServer.Listener.Addr().String()
 	platform.SetHosts([]wire.Host{{ID: "status-0", Incarnation: "1", Role: "upstream", Pool: "status", Zone: "a", Addr: upstreamAddr}})
 	text := fmt.Sprintf("service status repeat=safe deadline=5s # test\naccount a weight=1 token=sha256:%x # test\n", sha256.Sum256([]byte(testToken)))
 	lines, err := rules.Parse("rules", text)
