relay: refuse messages of hosts that end with their connection

What could be seen: the state of another host that broke off between two entries was taken for a whole one if it had neither a length nor chunks. Hosts always send a length; only another process at the address of a host that is gone could answer so.

Cause: boundedTransport judged a success by its type alone, and a protobuf message that ends between two fields is valid.

Change: such successes are refused like those of another type.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -86,7 +86,8 @@
 var errForeignReply = errors.New("response is not a message of a node")
 
 // A boundedTransport bounds the bodies of responses, which the generated clients read
-// whole, and refuses those of other types, as an empty body is a valid message.
+// whole, and refuses those of other types, as an empty body is a valid message. It also refuses
+// those with neither a length nor chunks, as a message that breaks off between two fields is valid.
 type boundedTransport struct{ http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("call node: %w", err)
 	}
-	if response.StatusCode == http.StatusOK && mediaType(response) != peerType {
+	if response.StatusCode == http.StatusOK && (mediaType(response) != peerType || endsWithConnection(response)) {
 		response.Body.Close()
 		return nil, fmt.Errorf("call node: %w", errForeignReply)
 	}
