relay: let hosts take turns in reading the configuration

Cause: one read waits at the store for 15 or 30 s. One sent while the store is silent is never answered, one sent while it is slow may not be ended by a change; each change ends the reads of all hosts at once, so that all miss the next one alike, and gossip has nothing to tell.

Evidence: TestConfigMissedByWaitingReads fails before in 6 of 6 cases (1, 7 and 14 hosts, silent and deaf store).

Change: of all hosts together one read ends each 2.1 s, by turns that follow the time of day. A host that finds a missed version tells three others at once, which fetch it, send their reads again and tell three more. A host reads as often as before at 7 hosts.

--- a/fleet/stages.go
+++ b/fleet/stages.go
@@ -59,50 +59,51 @@
 // a stage that the route does not have. A stage that is not requested is omitted: others do not
 // wait for it.
 func (r *Route) StageOrder(requested func(stage int) bool) []int {
-	s := stageSorter{stages: r.Stages, requested: requested, visits: make([]visit, len(r.Stages))}
+	s := stageSorter{stages: r.Stages, requested: requested, states: make([]sortState, len(r.Stages))}
 	for i := range r.Stages {
 		s.visit(i)
 	}
 	return s.order
 }
 
-// visit is what a stageSorter knows of a stage.
-type visit int
+// A sortState is what a stageSorter knows of a stage.
+type sortState int
 
 const (
-	visitNone visit = iota
-	// visitOpen is the state of a stage while those that it needs are visited, and of one that
-	// can never run.
-	visitOpen
-	visitDone
+	unvisited sortState = iota
+	// blocked is the state of a stage while those that it needs are visited, and of one that can
+	// never run.
+	blocked
+	sorted
 )
 
 // A stageSorter sorts stages topologically by a depth-first search.
 type stageSorter struct {
 	stages    []Stage
 	requested func(stage int) bool
-	visits    []visit
-	order     []int
+	// states has the state of each stage, and order the stages that are sorted.
+	states []sortState
+	order  []int
 }
 
-// visit adds a stage to the order, after those that it needs, and reports whether a stage that
-// needs its results can run.
+// visit adds a stage to the order, after those that it needs, and reports whether stages that need
+// its results can run.
 func (s *stageSorter) visit(stage int) bool {
 	switch {
 	case stage < 0 || stage >= len(s.stages):
 		return false
 	case !s.requested(stage):
 		return true
-	case s.visits[stage] != visitNone:
-		return s.visits[stage] == visitDone
+	case s.states[stage] != unvisited:
+		return s.states[stage] == sorted
 	}
-	s.visits[stage] = visitOpen
+	s.states[stage] = blocked
 	for _, predecessor := range s.stages[stage].After {
 		if !s.visit(predecessor) {
 			return false
 		}
 	}
-	s.visits[stage] = visitDone
+	s.states[stage] = sorted
 	s.order = append(s.order, stage)
 	return true
 }
--- a/member/event.go
+++ b/member/event.go
@@ -51,6 +51,9 @@
 	Rates   map[string]float64
 }
 
+// SelfSpread sends the digest of this node to some nodes at once.
+type SelfSpread struct{}
+
 // Tick advances the reducer to the current time.
 type Tick struct{}
 
@@ -62,6 +65,7 @@
 func (EvacuationsRead) MemberEvent() {}
 func (Stop) MemberEvent()            {}
 func (SelfUpdated) MemberEvent()     {}
+func (SelfSpread) MemberEvent()      {}
 func (Tick) MemberEvent()            {}
 
 // Gossip asks the caller to send a digest to a node and to pass the digest that the
--- a/member/member.go
+++ b/member/member.go
@@ -203,6 +203,8 @@
 		g.addMark(Mark{g.self.ID, g.self.Incarnation})
 	case SelfUpdated:
 		g.self.Version, g.self.Rates = e.Version, e.Rates
+	case SelfSpread:
+		g.spread(g.Digest())
 	case Tick:
 		g.tick(now)
 	}
--- /dev/null
+++ b/relay/missed_config_test.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselplank/platform/stand"
+)
+
+// firstVersion is that of the configuration before the one that reads miss.
+const firstVersion = 2
+
+// allKnown reports whether each node knows a number of live nodes, with itself.
+func (d *deployment) allKnown(nodes int) bool {
+	for _, n := range d.nodes {
+		n.server.mu.Lock()
+		known := len(n.server.group.Live())
+		n.server.mu.Unlock()
+		if known < nodes {
+			return false
+		}
+	}
+	return true
+}
+
+// configTime is how long after its acknowledgement a version may take to be in force.
+const configTime = 2 * time.Second
+
+// A configFault keeps the reads that wait for a configuration from getting it.
+type configFault struct {
+	name string
+	// write writes a version, which the waiting reads miss, and returns it.
+	write func(d *deployment) (version int64)
+}
+
+var configFaults = []configFault{
+	{"the part of the store is silent", func(d *deployment) int64 {
+		d.store.SetTopicSilent(stand.TopicConfig, true)
+		time.Sleep(500 * time.Millisecond)
+		stand.PutConfig(d.store, firstVersion+1, "/added/")
+		time.Sleep(500 * time.Millisecond)
+		d.store.SetTopicSilent(stand.TopicConfig, false)
+		return firstVersion + 1
+	}},
+	{"the store is slow", func(d *deployment) int64 {
+		// The reads that wait already get the first version, and the next ones miss the second.
+		d.store.SetTopicDeaf(stand.TopicConfig, true)
+		stand.PutConfig(d.store, firstVersion+1)
+		time.Sleep(300 * time.Millisecond)
+		stand.PutConfig(d.store, firstVersion+2, "/added/")
+		time.Sleep(300 * time.Millisecond)
+		d.store.SetTopicDeaf(stand.TopicConfig, false)
+		return firstVersion + 2
+	}},
+}
+
+// wantVersion checks that a version is in force on all nodes by a time.
+func (d *deployment) wantVersion(t *testing.T, version int64, by time.Time) {
+	t.Helper()
+	for _, n := range d.nodes {
+		for d.versionOf(n) < version {
+			if late := time.Since(by); late > 0 {
+				t.Errorf("%s has version %d, want %d", n.server.settings.Node, d.versionOf(n), version)
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func (d *deployment) versionOf(n *testNode) int64 {
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	return n.server.configVersion()
+}
+
+// Guards against a configuration that no node knows before its read of it has waited in vain, as
+// the reads of all nodes missed it.
+func TestConfigMissedByWaitingReads(t *testing.T) {
+	for _, nodes := range []int{1, 7, 14} {
+		for _, fault := range configFaults {
+			t.Run(fmt.Sprintf("%s, %d nodes", fault.name, nodes), func(t *testing.T) {
+				t.Parallel()
+				d := deploy(t, nodes)
+				d.await("the nodes know each other", func() bool { return d.allKnown(nodes) })
+				// The reads before it were sent when nodes knew few others.
+				stand.PutConfig(d.store, firstVersion)
+				d.wantVersion(t, firstVersion, time.Now().Add(configTime))
+				version := fault.write(d)
+				settled := time.Now().Add(settleTime)
+				d.wantVersion(t, version, settled)
+				t.Log("in force after", time.Since(settled.Add(-settleTime)))
+				stand.PutConfig(d.store, version+1)
+				d.wantVersion(t, version+1, laterOf(settled, time.Now().Add(configTime)))
+				time.Sleep(time.Until(settled))
+				stand.PutConfig(d.store, version+2)
+				d.wantVersion(t, version+2, time.Now().Add(configTime))
+			})
+		}
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -388,8 +388,8 @@
 		// The node may accept requests once it has a configuration.
 		s.memberStep(member.DigestReceived{Digest: member.Digest{Evacuations: state.Evacuations}})
 	}
-	if len(m.GetRules()) > 0 {
-		s.applyConfig(m.GetRules(), "peer "+addr)
+	if len(m.GetRules()) > 0 && s.applyConfig(m.GetRules(), "peer "+addr) && version > 0 {
+		s.configLearned()
 	}
 	if err != nil {
 		s.metrics.countPeerFailure("state")
--- a/relay/store.go
+++ b/relay/store.go
@@ -9,13 +9,8 @@
 )
 
 const (
-	// configWait is how long a read waits for a change of the configuration, and
-	// largeConfigWait the same where nodes follow others. A hung read is
-	// detected by the reads of other streams, and gossip has the configuration versions of
-	// other nodes, so that the age of the configuration does not depend on these waits.
-	configWait      = 15 * time.Second
-	largeConfigWait = 30 * time.Second
-	// upstreamWait is the same for the upstreams, whose entries change constantly.
+	// upstreamWait is how long a read waits for a change of the upstreams, whose entries change
+	// constantly.
 	upstreamWait = 1500 * time.Millisecond
 	// minUpstreamPause and maxUpstreamPause bound the pause between two reads of the
 	// upstreams. The pause is minimal up to nodesAtMinPause nodes and grows with
@@ -52,23 +47,18 @@
 	reading *reading
 	// observe, if set, gets each page before its records are applied.
 	observe func(page infra.Page, all bool)
+	// missed, if set, is called after records were applied that a read has missed while it
+	// waited, so that it or another one returned them late.
+	missed func()
 }
 
 func (s *Server) followConfig() {
 	s.follow(feed{
 		stream: infra.StreamConfig, wait: s.configWait, pause: always(0),
-		apply: s.applyConfigRecords, observe: s.observeEvacuations,
+		apply: s.applyConfigRecords, observe: s.observeEvacuations, missed: s.spreadConfig,
 	})
 }
 
-// configWait returns how long a read waits for a change of the configuration.
-func (s *Server) configWait() time.Duration {
-	if s.nodeCount() < minFollowNodes {
-		return configWait
-	}
-	return largeConfigWait
-}
-
 func (s *Server) followUpstreams() {
 	s.follow(feed{
 		stream: infra.StreamUpstreams, wait: always(upstreamWait), pause: s.upstreamPause,
@@ -146,6 +136,7 @@
 		if err == nil {
 			s.observeEpoch(page.Epoch)
 		}
+		late := repeated || s.now().Sub(started) >= pollWait
 		pollWait = f.reading.wait(f.wait())
 		if err != nil {
 			pollWait = min(pollWait, probeWait)
@@ -166,6 +157,9 @@
 			}
 			if news := f.reading.add(s.now(), all, from, page); all || len(news) > 0 {
 				f.apply(news, all)
+				if late && !all && f.missed != nil {
+					f.missed()
+				}
 			}
 			s.sleep(f.reading.pause(f.pause()))
 		default:
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -63,22 +63,24 @@
 	table    *fleet.Table
 }
 
-// applyConfig puts a configuration in force if it is newer than the current one.
-func (s *Server) applyConfig(document []byte, source string) {
+// applyConfig puts a configuration in force if it is newer than the current one, and reports
+// whether it is.
+func (s *Server) applyConfig(document []byte, source string) bool {
 	config, err := s.protocol.ParseConfig(document)
 	var invalid *fleet.InvalidRoutesError
 	if err != nil && !errors.As(err, &invalid) {
 		s.logger.Error("configuration is not valid", "source", source, "error", err.Error())
 		s.metrics.countInvalid("config")
-		return
+		return false
 	}
 	before, newer := s.useConfig(configuration{document, fleet.NewTable(config)})
 	if !newer {
-		return
+		return false
 	}
 	s.logger.Info("configuration in force", "version", config.Version, "before", before, "source", source, "routes", len(config.Routes))
 	s.reportInvalidRoutes(config.Version, invalid)
 	s.memberStep(member.SelfUpdated{Version: config.Version})
+	return true
 }
 
 // reportInvalidRoutes logs and counts the routes of a configuration in force that are not valid.
