--- a/relay/turns.go
+++ b/relay/turns.go
@@ -23,8 +23,8 @@
 
 // untilTurn returns how long a read of the configuration waits for a change, at the node with a
 // rank from 0 among a number of nodes: until the next turn of its rank. The turns follow the time
-// of day, since nodes share no other clock. If those differ, turns coincide, which only delays
-// the discovery of a change that was missed.
+// of day at the nodes' starts, since nodes share no other clock. If those differ, turns coincide,
+// which only delays the discovery of a change that was missed.
 func untilTurn(now time.Time, rank, nodes int) time.Duration {
 	turns := min(max(nodes, 1), maxConfigTurns)
 	period := time.Duration(turns) * configTurn
