--- a/relay/unproven_refusal_test.go
+++ b/relay/unproven_refusal_test.go
@@ -100,10 +100,7 @@
 // not run them.
 func TestProvenRefusal(t *testing.T) {
 	const requests = 6
-	proven := []string{"421 Misdirected Request"}
-	for _, status := range refusalStatuses {
-		proven = append(proven, status)
-	}
+	proven := append([]string{"421 Misdirected Request"}, refusalStatuses...)
 	for _, status := range proven {
 		t.Run(status[:3], func(t *testing.T) {
 			t.Parallel()
