listen: count replaced and refused connections where that is decided

Callers saw nothing; the counters lagged behind what clients saw.

Cause: the goroutine that closes the replaced connection counted it, and the new connection was served meanwhile. A refused connection was closed before it was counted.

TestReplacedIsCountedAtOnce failed at once before the change.

Change: makePlace and Accept count.

--- a/listen/bounds.go
+++ b/listen/bounds.go
@@ -160,6 +160,8 @@
 	for _, v := range candidates[:min(max(l.bounds.Conns/replaceShare/2, 1), len(candidates))] {
 		v.conn.replaced = true
 		l.closing++
+		// Counted before the new connection is served, so that the counters explain its place.
+		l.count(Replaced)
 		go v.conn.replace()
 	}
 	return true
@@ -181,7 +183,6 @@
 // replace closes the connection for another one, which needs its place at once: the server may
 // be about to wait for the client.
 func (c *Conn) replace() {
-	c.listener.count(Replaced)
 	c.mu.Lock()
 	reading := c.busy && c.holder.Phase() != memory.Running
 	c.evicted = c.evicted || reading
--- a/listen/bounds_test.go
+++ b/listen/bounds_test.go
@@ -281,6 +281,22 @@
 	}
 }
 
+// Guards against counters that lag behind what clients see: a new connection was served before the
+// one that had given its place to it was counted.
+func TestReplacedIsCountedAtOnce(t *testing.T) {
+	for range 20 {
+		s := serve(t, Bounds{Conns: 1, SilentTime: time.Nanosecond})
+		s.dial(t)
+		awaitThat(t, "the place is taken", func() bool { return s.listener.Len() == 1 })
+		if !s.listener.makePlace(time.Now()) {
+			t.Fatal("there is no place")
+		}
+		if got := s.count(Replaced); got != 1 {
+			t.Fatalf("%d connections were counted as replaced, want 1", got)
+		}
+	}
+}
+
 // net/http goes on after a temporary error of accept only if the error is not wrapped; it ended
 // the server when descriptors ran out.
 func TestTemporaryAcceptError(t *testing.T) {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -114,8 +114,8 @@
 		if c := l.admit(raw); c != nil {
 			return c, nil
 		}
-		raw.Close()
 		l.count(RefusedConnection)
+		raw.Close()
 	}
 }
 
