relay: read the configuration in turn also when hosts start, join or end

What callers saw: just after hosts had started, a version that all reads had missed (the store silent for 1 s) was in force later than 3 s after the fault, in 1 of 16 runs of TestConfigMissedAfterStart.

Cause: a read waits until the turn that its host computed when the read was sent. Just after the start a host knows few others; when hosts join or end, the turns of all change. The reads in progress keep their ends, so that none ends in some turns. Suspect hosts kept their turns until they counted as dead (15 s).

Evidence: the ends of the reads that wait, listed 3 s after the start (streamState.waitsUntil), leave 3.0 to 4.3 s without one at 7, 13 and 14 nodes, and up to 10.7 s after two have joined, where 2.4 s are wanted. TestConfigMissedAfterStart failed in 1 of 120 runs on that code.

Result: TestConfigReadsTakeTurns passes at 1 to 14 nodes, after the start, after two have joined and after one has ended.

--- a/relay/missed_config_test.go
+++ b/relay/missed_config_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"teaselplank/infra"
 	"teaselplank/platform/stand"
 )
 
@@ -24,6 +26,19 @@
 	return true
 }
 
+// takingTurns reports whether each node counts a number of nodes that take turns, with itself.
+func (d *deployment) takingTurns(nodes int) bool {
+	for _, n := range d.nodes {
+		n.server.mu.Lock()
+		_, counted := n.server.configRank()
+		n.server.mu.Unlock()
+		if counted != nodes {
+			return false
+		}
+	}
+	return true
+}
+
 // configTime is how long after its acknowledgement a version may take to be in force.
 const configTime = 2 * time.Second
 
@@ -123,3 +138,56 @@
 		}
 	}
 }
+
+// Guards against the cause of the same, which needs no fault to be seen: the reads that wait leave a
+// long time in which none ends, as nodes have started, come or gone since they were sent.
+func TestConfigReadsTakeTurns(t *testing.T) {
+	for _, nodes := range []int{1, 2, 7, 13, 14} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, nodes)
+			time.Sleep(settleTime)
+			d.wantTurns(t, "after the start")
+			d.addNode("late-1")
+			d.addNode("late-2")
+			d.await("the nodes know the new ones", func() bool { return d.takingTurns(nodes + 2) })
+			time.Sleep(discoveryTime + 2*memberTickInterval)
+			d.wantTurns(t, "after two more have started")
+			d.nodes[0].server.close()
+			d.nodes = d.nodes[1:]
+			d.await("the nodes know that one has ended", func() bool { return d.takingTurns(nodes + 1) })
+			time.Sleep(2 * memberTickInterval)
+			d.wantTurns(t, "after one has ended")
+		})
+	}
+}
+
+// wantTurns checks that the reads of a configuration that wait, and those that follow them, end one
+// after the other, so that no time without an end is longer than a turn.
+func (d *deployment) wantTurns(t *testing.T, when string) {
+	t.Helper()
+	last := time.Now()
+	for _, end := range d.configReadEnds() {
+		if gap := end.Sub(last); gap > configTurn+minConfigWait {
+			t.Errorf("%s, no read ends for %s, want at most %s", when, gap, configTurn+minConfigWait)
+		}
+		last = end
+	}
+}
+
+// configReadEnds returns, in order, when the reads that wait for a configuration end, and the next
+// ones of the same nodes, until the last of those that wait ends.
+func (d *deployment) configReadEnds() []time.Time {
+	var ends []time.Time
+	var last time.Time
+	for _, n := range d.nodes {
+		n.server.mu.Lock()
+		first := n.server.streamState(infra.StreamConfig).waitsUntil
+		rank, nodes := n.server.configRank()
+		n.server.mu.Unlock()
+		ends = append(ends, first, first.Add(untilTurn(first, rank, nodes)))
+		last = laterOf(last, first)
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	return slices.DeleteFunc(ends, last.Before)
+}
--- a/relay/reads.go
+++ b/relay/reads.go
@@ -35,7 +35,8 @@
 	ctx, cancel := f.reading.bound(s.context, wait, whole)
 	defer cancel()
 	s.mu.Lock()
-	s.streamState(f.stream).cancel = cancel
+	state := s.streamState(f.stream)
+	state.cancel, state.waitsUntil = cancel, s.now().Add(wait)
 	s.mu.Unlock()
 	answer, number, err := hedge.Do(ctx, f.reading.hedging(wait), func(ctx context.Context, number int) (pageAnswer, error) {
 		page, err := s.readOnce(ctx, f.stream, whole, from, waitOf(number, wait))
--- a/relay/store.go
+++ b/relay/store.go
@@ -47,8 +47,8 @@
 	reading *reading
 	// observe, if set, gets each page before its records are applied.
 	observe func(page infra.Page, all bool)
-	// missed, if set, is called after records were applied that a read has missed while it
-	// waited, so that it or another one returned them late.
+	// missed, if set, is called after records were applied that a read may have missed while it
+	// waited: it or one that was sent in its place returned them late.
 	missed func()
 }
 
@@ -104,8 +104,10 @@
 	// failing is true if the last read failed.
 	lastRead time.Time
 	failing  bool
-	// cancel cancels the latest read for changes. It is nil before the first one.
-	cancel context.CancelFunc
+	// cancel cancels the latest read for changes, which waits for them until waitsUntil. It is
+	// nil before the first one.
+	cancel     context.CancelFunc
+	waitsUntil time.Time
 }
 
 // streamState returns the state of reading a stream. The lock must be held.
@@ -123,7 +125,7 @@
 // otherwise.
 func (s *Server) follow(f feed) {
 	var cursor infra.Cursor
-	backoff, pollWait := minReadBackoff, f.wait()
+	backoff, pollWait, resent := minReadBackoff, f.wait(), false
 	for s.context.Err() == nil {
 		if !s.readsNext(f, &cursor) {
 			continue
@@ -136,7 +138,8 @@
 		if err == nil {
 			s.observeEpoch(page.Epoch)
 		}
-		late := repeated || s.now().Sub(started) >= pollWait
+		late := repeated || resent || s.now().Sub(started) >= pollWait
+		resent = errors.Is(err, context.Canceled)
 		pollWait = f.reading.wait(f.wait())
 		if err != nil {
 			pollWait = min(pollWait, probeWait)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -287,6 +287,7 @@
 		s.memberStep(member.Tick{})
 		now := s.now()
 		s.mu.Lock()
+		s.keepConfigTurn()
 		expired := s.directory.Expire(now)
 		count := s.directory.Len()
 		peer := ""
