fleet: order the processes of an upstream by the store's log

Cause: the directory ordered the processes of an id by the start times that they name, and ignored the entries of one with a lower start time, although the store's log has them later.

Change: entries carry their offset and epoch; the later one in the log is the newer process, and start times decide only where positions are not comparable. A process that was replaced is remembered like a removed one. Slow starts and warm-ups use the same comparison. Feeds pass pages, which have the epoch.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -32,6 +32,34 @@
 	// time of its entry. WarmupUnstated is true if the entry does not say.
 	Warmup         time.Duration
 	WarmupUnstated bool
+	// Position is that of the entry in the store's log, if it is known.
+	Position Position
+}
+
+// A Position is a place in the store's log. The zero value is an unknown one.
+type Position struct {
+	Known bool
+	// Epoch counts how often the store was restored from a copy. Offsets of different epochs
+	// are not comparable.
+	Epoch  int64
+	Offset int64
+}
+
+// comparable reports whether it is known which of two positions comes first.
+func (p Position) comparable(q Position) bool { return p.Known && q.Known && p.Epoch == q.Epoch }
+
+// Replaces reports whether an entry belongs to a process that started after the one of another
+// entry with the same ID. The store's log has entries in the order in which they were written. Start
+// times, which decide where that is not known, do not follow it if the clock of a machine was set
+// back.
+func (u Upstream) Replaces(v Upstream) bool {
+	switch {
+	case u.Born == v.Born:
+		return false
+	case u.Position.comparable(v.Position):
+		return u.Position.Offset > v.Position.Offset
+	}
+	return u.Born > v.Born
 }
 
 // rewriteTime is how long after a store outage live upstreams take at most to write their
@@ -63,14 +91,23 @@
 
 // A Removal identifies the last entry of an upstream that was removed.
 type Removal struct {
-	ID   string
-	Born int64
-	Seq  int64
+	ID       string
+	Born     int64
+	Seq      int64
+	Position Position
+}
+
+// entry returns what the removal says of the entry.
+func (r Removal) entry() Upstream {
+	return Upstream{ID: r.ID, Born: r.Born, Seq: r.Seq, Position: r.Position}
 }
 
 // covers reports whether an entry is not newer than the removal.
 func (r Removal) covers(u Upstream) bool {
-	return u.Born < r.Born || u.Born == r.Born && u.Seq <= r.Seq
+	if u.Born == r.Born {
+		return u.Seq <= r.Seq
+	}
+	return !u.Replaces(r.entry())
 }
 
 type entry struct {
@@ -86,29 +123,32 @@
 }
 
 // Put adds or updates an entry. It reports whether the directory changes other than
-// in the sequence number or warmup time of an upstream.
+// in the sequence number, position or warmup time of an upstream.
 func (d *Directory) Put(u Upstream) bool {
 	if d.entries == nil {
 		d.entries = make(map[string]*entry)
 	}
-	if r, ok := d.removed.Get(u.ID); ok && r.covers(u) {
+	old := d.entries[u.ID]
+	// A known process is newer than the removal of another one.
+	if r, ok := d.removed.Get(u.ID); ok && r.covers(u) && (old == nil || u.Born == r.Born) {
 		return false
 	}
-	old := d.entries[u.ID]
 	if old == nil {
 		d.entries[u.ID] = &entry{upstream: u}
 		return true
 	}
 	// Ignore entries of older processes and older entries of the same process. Draining
 	// is permanent for a process.
-	if u.Born < old.upstream.Born || u.Born == old.upstream.Born && u.Seq < old.upstream.Seq {
+	switch same := u.Born == old.upstream.Born; {
+	case same && u.Seq < old.upstream.Seq, !same && !u.Replaces(old.upstream):
 		return false
-	}
-	if u.Born == old.upstream.Born && old.upstream.Draining {
+	case same && old.upstream.Draining:
 		u.Draining = true
+	case !same:
+		d.remember(old.upstream)
 	}
 	previous := old.upstream
-	previous.Seq, previous.Warmup, previous.WarmupUnstated = u.Seq, u.Warmup, u.WarmupUnstated
+	previous.Seq, previous.Position, previous.Warmup, previous.WarmupUnstated = u.Seq, u.Position, u.Warmup, u.WarmupUnstated
 	changed := previous != u
 	old.upstream, old.removeAt = u, time.Time{}
 	return changed
@@ -132,16 +172,26 @@
 
 // remove removes an upstream and remembers its last entry.
 func (d *Directory) remove(u Upstream) {
-	d.removed.Limit = maxRemovals
-	d.removed.Put(u.ID, Removal{ID: u.ID, Born: u.Born, Seq: u.Seq})
+	d.remember(u)
 	delete(d.entries, u.ID)
 }
 
-// Removed returns the removed upstreams that the directory remembers.
+// remember records the last entry of a process that has ended.
+func (d *Directory) remember(u Upstream) {
+	d.removed.Limit = maxRemovals
+	d.removed.Put(u.ID, Removal{ID: u.ID, Born: u.Born, Seq: u.Seq, Position: u.Position})
+}
+
+// Removed returns the removed upstreams that the directory remembers. It leaves out those whose ID
+// has a process now that says it started earlier: a directory that cannot compare their positions
+// would remove that process.
 func (d *Directory) Removed() []Removal {
 	removals := make([]Removal, 0, d.removed.Len())
 	for _, id := range d.removed.Keys() {
 		r, _ := d.removed.Get(id)
+		if e := d.entries[id]; e != nil && e.upstream.Born < r.Born {
+			continue
+		}
 		removals = append(removals, r)
 	}
 	return removals
@@ -153,7 +203,7 @@
 	changed := false
 	for _, r := range removals {
 		known, ok := d.removed.Get(r.ID)
-		if ok && !r.covers(Upstream{Born: known.Born, Seq: known.Seq}) {
+		if ok && !r.covers(known.entry()) {
 			continue
 		}
 		e := d.entries[r.ID]
@@ -161,7 +211,7 @@
 			continue
 		}
 		changed = changed || e != nil
-		d.remove(Upstream{ID: r.ID, Born: r.Born, Seq: r.Seq})
+		d.remove(r.entry())
 	}
 	return changed
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -197,6 +198,72 @@
 	})
 }
 
+// Guards against a process that is taken for an older one, so that all its entries are ignored, as
+// the clock of its machine was set back before it started.
+func TestDirectoryWithClockSetBack(t *testing.T) {
+	first := Upstream{ID: "u", Born: 9000, Seq: 7, Addr: "10.0.0.1:1", Position: Position{Known: true, Epoch: 1, Offset: 20}}
+	second := Upstream{ID: "u", Born: 7000, Seq: 1, Addr: "10.0.0.1:2", Position: Position{Known: true, Epoch: 1, Offset: 24}}
+	restored := func(u Upstream, seq, offset int64) Upstream {
+		u.Seq, u.Position = seq, Position{Known: true, Epoch: 2, Offset: offset}
+		return u
+	}
+	for _, removed := range []bool{false, true} {
+		replaced := func() *Directory {
+			d := new(Directory)
+			d.Put(first)
+			if removed {
+				d.Remove(start, "u")
+			}
+			d.Put(second)
+			return d
+		}
+		name := fmt.Sprintf("removed before: %v, ", removed)
+		t.Run(name+"second process is used", func(t *testing.T) {
+			d := replaced()
+			wantAddr(t, d, second.Addr)
+			if !d.Drain("u", second.Born) {
+				t.Error("the second process does not drain")
+			}
+		})
+		t.Run(name+"entry of the first comes from another node", func(t *testing.T) {
+			d := replaced()
+			d.Put(first)
+			wantAddr(t, d, second.Addr)
+			var late Directory
+			late.Put(first)
+			late.Remove(start, "u")
+			d.MergeRemoved(late.Removed())
+			wantAddr(t, d, second.Addr)
+		})
+		t.Run(name+"first is in a restored store", func(t *testing.T) {
+			d := replaced()
+			d.Put(restored(first, first.Seq, 20))
+			wantAddr(t, d, second.Addr)
+		})
+		t.Run(name+"second writes to a restored store", func(t *testing.T) {
+			d := replaced()
+			d.StoreRecovered(start, time.Second)
+			d.Replace(start, nil)
+			d.Replace(start, []Upstream{restored(second, 4, 21)})
+			d.Expire(start.Add(time.Minute))
+			wantAddr(t, d, second.Addr)
+		})
+		t.Run(name+"another node knows the second from a restored store", func(t *testing.T) {
+			var other Directory
+			other.Put(restored(second, 4, 21))
+			other.MergeRemoved(replaced().Removed())
+			wantAddr(t, &other, second.Addr)
+		})
+	}
+}
+
+func wantAddr(t *testing.T, d *Directory, want string) {
+	t.Helper()
+	if u, _ := d.Get("u"); u.Addr != want {
+		t.Errorf("address is %q, want %q", u.Addr, want)
+	}
+}
+
 func wantKnown(t *testing.T, d *Directory, id string, want bool) {
 	t.Helper()
 	if _, got := d.Get(id); got != want {
--- a/pace/warmup.go
+++ b/pace/warmup.go
@@ -27,8 +27,8 @@
 
 // A process is what is known of the newest process of an upstream.
 type process struct {
-	born, seq int64
-	zone      string
+	// entry is the newest entry that was read.
+	entry fleet.Upstream
 	// seenAt is when the process was first seen. Until stated is true, no entry has said how
 	// long it stays cold. After that, it is cold until coldUntil.
 	seenAt    time.Time
@@ -58,15 +58,15 @@
 		w.processes = make(map[string]*process)
 	}
 	p := w.processes[u.ID]
-	isNew := p == nil || u.Born > p.born
+	isNew := p == nil || u.Replaces(p.entry)
 	switch {
 	case isNew:
-		p = &process{born: u.Born, zone: u.Zone, seenAt: now}
+		p = &process{seenAt: now}
 		w.processes[u.ID] = p
-	case u.Born < p.born || u.Seq <= p.seq:
+	case u.Born != p.entry.Born || u.Seq <= p.entry.Seq:
 		return false // It was read before, and its age counts.
 	}
-	p.seq = u.Seq
+	p.entry = u
 	if u.WarmupUnstated {
 		return isNew
 	}
@@ -81,7 +81,7 @@
 // Doubt records that the upstreams of a zone may have become cold, as the zone was evacuated.
 func (w *Warmups) Doubt(now time.Time, zone string) {
 	for _, p := range w.processes {
-		if p.zone == zone {
+		if p.entry.Zone == zone {
 			p.doubtedAt, p.doubtedUntil = now, time.Time{}
 		}
 	}
@@ -99,7 +99,7 @@
 func (w *Warmups) Merge(now time.Time, cold []Cold) {
 	for _, c := range cold {
 		p := w.processes[c.Process.ID]
-		if until := now.Add(time.Duration(c.LeftMS) * time.Millisecond); p != nil && p.born == c.Process.Born && until.After(p.doubtedUntil) {
+		if until := now.Add(time.Duration(c.LeftMS) * time.Millisecond); p != nil && p.entry.Born == c.Process.Born && until.After(p.doubtedUntil) {
 			p.doubtedAt, p.doubtedUntil = now, until
 		}
 	}
@@ -108,7 +108,7 @@
 // Aged returns an upstream whose Warmup is reduced by the age of its entry, for nodes that do not
 // know when the entry was read.
 func (w *Warmups) Aged(now time.Time, u fleet.Upstream) fleet.Upstream {
-	if p := w.processes[u.ID]; p != nil && p.born == u.Born && p.stated {
+	if p := w.processes[u.ID]; p != nil && p.entry.Born == u.Born && p.stated {
 		u.Warmup = max(p.coldUntil.Sub(now), 0)
 	}
 	return u
@@ -120,7 +120,7 @@
 		return 0
 	}
 	p := w.processes[u.ID]
-	if p == nil || p.born != u.Born {
+	if p == nil || p.entry.Born != u.Born {
 		return s.Warmup // A new process whose entry was not read yet.
 	}
 	until := p.coldUntil
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -69,15 +69,16 @@
 func (s *Server) followCrashes() {
 	s.follow(feed{
 		stream: infra.StreamCrashes, wait: s.crashes.ReadWait, pause: always(cases.ReadPause),
-		apply: s.applyCaseRecords, reading: s.readings[infra.StreamCrashes],
+		apply: s.applyCasePage, reading: s.readings[infra.StreamCrashes],
 	})
 }
 
-func (s *Server) applyCaseRecords(records []infra.KeyedRecord, all bool) {
+// applyCasePage applies records of cases: all of them, or changes in order.
+func (s *Server) applyCasePage(page infra.Page, all bool) {
 	s.mu.Lock()
 	s.casesKnown = true
 	s.mu.Unlock()
-	s.crashes.Apply(records, all)
+	s.crashes.Apply(page.Records, all)
 }
 
 // A caseHost is the cases.Host of a server.
--- a/relay/owner_test.go
+++ b/relay/owner_test.go
@@ -34,8 +34,8 @@
 	for range 300 {
 		s := d.newServer(d.settings("node"))
 		var both sync.WaitGroup
-		both.Go(func() { s.applyConfigRecords(configs.Records, true) })
-		both.Go(func() { s.applyUpstreamRecords(upstreams.Records, true) })
+		both.Go(func() { s.applyConfigPage(configs, true) })
+		both.Go(func() { s.applyUpstreamPage(upstreams, true) })
 		both.Wait()
 		for _, p := range s.owner.pools(s.now()) {
 			if p.Workers == 0 {
--- a/relay/readers.go
+++ b/relay/readers.go
@@ -275,7 +275,7 @@
 	}
 	r.learn(now, a.all, a.from, page)
 	if a.all || len(page.Records) > 0 {
-		f.apply(page.Records, a.all)
+		f.apply(page, a.all)
 		s.sleep(followPause)
 	}
 }
--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -36,7 +36,7 @@
 			s.mu.Lock()
 			s.join.Finish()
 			s.mu.Unlock()
-			s.applyCaseRecords(nil, true)
+			s.applyCasePage(infra.Page{}, true)
 			apply(t, s, test.first)
 			wantNever(t, s, "ready", func() { apply(t, s, test.second) }, func() bool { return readiness(s) == http.StatusOK })
 			if got := readiness(s); got != http.StatusOK {
@@ -71,9 +71,9 @@
 		return
 	}
 	if stream == infra.StreamConfig {
-		s.applyConfigRecords(page.Records, true)
+		s.applyConfigPage(page, true)
 	} else {
-		s.applyUpstreamRecords(page.Records, true)
+		s.applyUpstreamPage(page, true)
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -377,8 +377,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.applyUpstreamRecords([]infra.KeyedRecord{{Key: "desk-a", Value: leaving}, {Key: "desk-a"}}, false)
-	s.applyUpstreamRecords([]infra.KeyedRecord{{Key: "desk-a", Value: ready}}, false)
+	s.applyUpstreamPage(infra.Page{Records: []infra.KeyedRecord{{Key: "desk-a", Value: leaving}, {Key: "desk-a"}}}, false)
+	s.applyUpstreamPage(infra.Page{Records: []infra.KeyedRecord{{Key: "desk-a", Value: ready}}}, false)
 	born := d.workers["desk-a"].Born()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -411,7 +411,7 @@
 		{"valid again", []infra.KeyedRecord{{Key: "desk-a"}, invalid, {Key: "desk-a", Value: valid()}}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s.applyUpstreamRecords(c.records, false)
+			s.applyUpstreamPage(infra.Page{Records: c.records}, false)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if _, known := s.directory.Get("desk-a"); known != c.want {
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -129,14 +129,14 @@
 			t.Errorf("readiness is %d %q, want %d", w.Code, w.Body, want)
 		}
 	}
-	for stream, apply := range map[infra.Stream]func([]infra.KeyedRecord, bool){
-		infra.StreamConfig: s.applyConfigRecords, infra.StreamUpstreams: s.applyUpstreamRecords,
+	for stream, apply := range map[infra.Stream]func(infra.Page, bool){
+		infra.StreamConfig: s.applyConfigPage, infra.StreamUpstreams: s.applyUpstreamPage,
 	} {
 		page, err := s.readNewest(stream)
 		if err != nil {
 			t.Fatal(err)
 		}
-		apply(page.Records, true)
+		apply(page, true)
 	}
 	elder := member.Node{ID: "elder", Incarnation: "1", Addr: "elder:1", Heartbeat: 100}
 	s.memberStep(member.DigestReceived{Digest: member.Digest{From: elder}})
--- a/relay/start.go
+++ b/relay/start.go
@@ -48,7 +48,7 @@
 	var found []fleet.Upstream
 	for _, u := range upstreams {
 		known, ok := s.directory.Get(u.ID)
-		if isNew := !ok || known.Born < u.Born; isNew && !u.Draining && u.Warmup == 0 && s.startsSlowly(u.Service) {
+		if isNew := !ok || u.Replaces(known); isNew && !u.Draining && u.Warmup == 0 && s.startsSlowly(u.Service) {
 			found = append(found, u)
 		}
 	}
--- a/relay/store.go
+++ b/relay/store.go
@@ -40,8 +40,8 @@
 	// reads.
 	wait  func() time.Duration
 	pause func() time.Duration
-	// apply applies records: all newest ones, or changes in order.
-	apply func(records []infra.KeyedRecord, all bool)
+	// apply applies a page: the newest record of each key, or changes in order.
+	apply func(page infra.Page, all bool)
 	// reading decides whether the node reads the stream itself or learns its records from
 	// another node. If it is nil, each node reads the stream.
 	reading *reading
@@ -55,14 +55,14 @@
 func (s *Server) followConfig() {
 	s.follow(feed{
 		stream: infra.StreamConfig, wait: s.configWait, pause: always(0),
-		apply: s.applyConfigRecords, observe: s.observeEvacuations, missed: s.spreadConfig,
+		apply: s.applyConfigPage, observe: s.observeEvacuations, missed: s.spreadConfig,
 	})
 }
 
 func (s *Server) followUpstreams() {
 	s.follow(feed{
 		stream: infra.StreamUpstreams, wait: always(upstreamWait), pause: s.upstreamPause,
-		apply: s.applyUpstreamRecords, reading: s.readings[infra.StreamUpstreams],
+		apply: s.applyUpstreamPage, reading: s.readings[infra.StreamUpstreams],
 	})
 }
 
@@ -120,7 +120,7 @@
 	return state
 }
 
-// follow reads a stream while the server is open and passes the records to apply: all
+// follow reads a stream while the server is open and passes the pages to apply: all
 // newest records at first, after a gap and after the store was restored, changes
 // otherwise.
 func (s *Server) follow(f feed) {
@@ -158,8 +158,9 @@
 			if f.observe != nil {
 				f.observe(page, all)
 			}
-			if news := f.reading.add(s.now(), all, from, page); all || len(news) > 0 {
-				f.apply(news, all)
+			page.Records = f.reading.add(s.now(), all, from, page)
+			if all || len(page.Records) > 0 {
+				f.apply(page, all)
 				if late && !all && f.missed != nil {
 					f.missed()
 				}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// applyConfigRecords applies records of the configuration.
-func (s *Server) applyConfigRecords(records []infra.KeyedRecord, _ bool) {
-	for _, r := range records {
+// applyConfigPage applies records of the configuration.
+func (s *Server) applyConfigPage(page infra.Page, _ bool) {
+	for _, r := range page.Records {
 		if r.Key == infra.KeyConfig && len(r.Value) > 0 {
 			s.applyConfig(r.Value, "store")
 		}
@@ -110,10 +110,10 @@
 	return before, true
 }
 
-// applyUpstreamRecords applies records of upstreams: all of them, or changes in order.
-func (s *Server) applyUpstreamRecords(records []infra.KeyedRecord, all bool) {
+// applyUpstreamPage applies records of upstreams: all of them, or changes in order.
+func (s *Server) applyUpstreamPage(page infra.Page, all bool) {
 	now := s.now()
-	entries := s.parseEntries(records)
+	entries := s.parseEntries(page)
 	s.mu.Lock()
 	s.upstreamsKnown = true
 	before, deferredBefore := s.directory.Len(), s.directory.Deferred()
@@ -173,9 +173,9 @@
 	upstream fleet.Upstream
 }
 
-func (s *Server) parseEntries(records []infra.KeyedRecord) []upstreamEntry {
-	entries := make([]upstreamEntry, len(records))
-	for i, r := range records {
+func (s *Server) parseEntries(page infra.Page) []upstreamEntry {
+	entries := make([]upstreamEntry, len(page.Records))
+	for i, r := range page.Records {
 		entries[i].id = r.Key
 		if len(r.Value) == 0 {
 			continue
@@ -185,6 +185,7 @@
 			s.metrics.countInvalid("upstream")
 			continue
 		}
+		u.Position = fleet.Position{Known: true, Epoch: int64(page.Epoch), Offset: r.Offset}
 		entries[i].present, entries[i].upstream = true, u
 	}
 	return entries
