--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -257,6 +257,24 @@
 	}
 }
 
+// An entry that an ended process wrote late must not keep its successor out for longer than until the
+// next heartbeat.
+func TestLateEntryOfEndedProcess(t *testing.T) {
+	first := Upstream{ID: "u", Born: 7000, Seq: 7, Addr: "10.0.0.1:1", Position: Position{Known: true, Offset: 20}}
+	second := Upstream{ID: "u", Born: 9000, Seq: 1, Addr: "10.0.0.1:2", Position: Position{Known: true, Offset: 24}}
+	var d Directory
+	d.Put(first)
+	d.Put(second)
+	first.Seq, first.Position.Offset = 8, 25
+	d.Put(first)
+	second.Seq, second.Position.Offset = 2, 26
+	d.Put(second)
+	wantAddr(t, &d, second.Addr)
+	first.Seq, first.Position.Offset = 7, 20
+	d.Put(first)
+	wantAddr(t, &d, second.Addr)
+}
+
 func wantAddr(t *testing.T, d *Directory, want string) {
 	t.Helper()
 	if u, _ := d.Get("u"); u.Addr != want {
