listen: notice that a client has left behind requests that it sent ahead

Cause: net/http sees a close only as the end of the input, behind the requests that were sent ahead.

Evidence: TestCloseBehindRequestsSentAhead and TestRequestsSentAheadByClientThatLeft fail before.

Change: a connection asks the kernel for a close before it serves a request that was sent ahead, and each 100 ms while a request is in progress with others behind it; the request's context is cancelled then.

--- a/listen/bounds_test.go
+++ b/listen/bounds_test.go
@@ -16,15 +16,8 @@
 	"teaselplank/memory"
 )
 
-// A served is a server on a bounded listener that answers with the bodies of its requests.
-type served struct {
-	listener *Listener
-	account  *memory.Account
-	mu       sync.Mutex
-	refused  map[Refusal]int
-}
-
-func serve(t *testing.T, b Bounds) *served {
+// listenWith returns a bounded listener without a server.
+func listenWith(t *testing.T, b Bounds) *served {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,6 +31,20 @@
 		s.refused[r]++
 	}
 	s.listener = NewBounded(raw, b)
+	return s
+}
+
+// A served is a server on a bounded listener that answers with the bodies of its requests.
+type served struct {
+	listener *Listener
+	account  *memory.Account
+	mu       sync.Mutex
+	refused  map[Refusal]int
+}
+
+func serve(t *testing.T, b Bounds) *served {
+	t.Helper()
+	s := listenWith(t, b)
 	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !ConnOf(r).EndBody() {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -58,6 +58,13 @@
 	requests int
 	// closing is true if the connection is to be closed unless a request arrives first.
 	closing bool
+	// early is true if the next request was begun before the answer to the last one was written.
+	early bool
+	// cancel cancels the request in progress, or is nil. ahead is true once something was read
+	// of a later one. look then looks for a close of the connection.
+	cancel context.CancelFunc
+	ahead  bool
+	look   *time.Timer
 }
 
 // New returns a listener that tracks the connections that another one accepts.
@@ -84,16 +91,19 @@
 	}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r); c != nil {
-			c.startRequest()
-			if r.ContentLength == 0 {
-				c.EndBody()
-			}
-			if c.reader.passes {
-				w.Header().Set("Connection", "close")
-			}
+		c := ConnOf(r)
+		if c == nil {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
+		c.startRequest()
+		if r.ContentLength == 0 {
+			c.EndBody()
+		}
+		if c.reader.passes {
+			w.Header().Set("Connection", "close")
+		}
+		c.serve(handler, w, r)
 	})
 }
 
@@ -167,6 +177,7 @@
 	c.holder.Keep(memory.Bodies, 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.early = begun
 	if c.busy = begun; begun {
 		c.requests++
 		c.holder.Enter(memory.Receiving, time.Now())
--- a/listen/read.go
+++ b/listen/read.go
@@ -154,6 +154,9 @@
 	} else {
 		n, err = c.readRaw(b)
 	}
+	if n > 0 {
+		c.sentAhead()
+	}
 	if n > 0 && b[0] != '\r' && b[0] != '\n' {
 		r.begun = true
 	}
