listen: bound what clients send ahead, and charge requests in progress

Cause: nothing bounded the receive buffers of clients' connections, and the account of what clients hold left out most of a request in progress: 16 KB were charged for 60.

Change: receive buffers of 16 KiB, larger while a long body is read and if there is room; 24 KiB are charged for a request in progress, and the buffer of a client that sends ahead.

Given up: a host with 144 MiB takes about 1,200 small requests at a time; TestManyStreamsFitMemory has 500 with bodies of 18 kB served.

--- a/listen/bounds.go
+++ b/listen/bounds.go
@@ -20,6 +20,10 @@
 	HeadBytes int
 	Fields    int
 	HeadTime  time.Duration
+	// ReceiveBytes bounds, but for a factor of 1.5, what the kernel holds of what a client has sent
+	// and the server has not read. It is larger while a long body is read. If it is 0, the kernel
+	// decides.
+	ReceiveBytes int
 	// IdleTime is how long an idle connection is kept although a new one needs its place.
 	// SilentTime is the same for one whose request or response makes no progress.
 	IdleTime, SilentTime time.Duration
@@ -58,6 +62,9 @@
 const (
 	// ConnCost is the cost of a connection: two buffers of 4 KiB, a stack and the state.
 	ConnCost = 12 << 10
+	// requestCost is the cost of a request in progress beside its head and body: the goroutines
+	// that serve it, and its connection to an upstream.
+	requestCost = 24 << 10
 	// headCost and fieldCost are the costs of a parsed head and of each of its fields beside
 	// its bytes. A parsed field takes 90 bytes, and as much again in the request to an
 	// upstream. byteCost is the number of copies of the bytes.
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -77,6 +77,7 @@
 	}
 	bounded := &Listener{Listener: l, bounds: b, open: make(map[*Conn]struct{})}
 	bounded.SetHeadBounds(b.HeadBytes, b.HeadTime)
+	boundReceived(l, b.ReceiveBytes)
 	return bounded
 }
 
@@ -175,6 +176,7 @@
 	begun := c.reader.endRequest()
 	c.holder.Keep(memory.Heads, int64(cap(c.reader.buffer)))
 	c.holder.Keep(memory.Bodies, 0)
+	c.holder.Keep(memory.Requests, 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.early = begun
@@ -183,6 +185,7 @@
 		c.holder.Enter(memory.Receiving, time.Now())
 		return
 	}
+	c.releaseBuffer()
 	c.holder.Enter(memory.Idle, time.Now())
 }
 
--- a/listen/read.go
+++ b/listen/read.go
@@ -31,6 +31,10 @@
 	left     int64
 	inChunks bool
 	chunks   chunkScanner
+	// largeBuffer is true while the kernel's receive buffer is enlarged for a body. bufferCharge is
+	// what is charged for the buffer, in bytes.
+	largeBuffer  bool
+	bufferCharge int64
 }
 
 const (
@@ -108,7 +112,9 @@
 	} else {
 		n, err = c.readRaw(b)
 	}
-	r.left -= int64(n)
+	if r.left -= int64(n); r.left == 0 {
+		c.endLongBody()
+	}
 	return n, err
 }
 
@@ -140,6 +146,7 @@
 	}
 	if done {
 		r.inChunks, r.chunks = false, chunkScanner{}
+		c.endLongBody()
 	}
 	return n
 }
@@ -155,6 +162,7 @@
 		n, err = c.readRaw(b)
 	}
 	if n > 0 {
+		c.chargeAhead()
 		c.sentAhead()
 	}
 	if n > 0 && b[0] != '\r' && b[0] != '\n' {
@@ -240,7 +248,7 @@
 	if bounds := &c.listener.bounds; bounds.Fields > 0 && f.fields > bounds.Fields {
 		return 0, c.refuse(LongHead, http.StatusRequestHeaderFieldsTooLarge)
 	}
-	if !c.Hold(memory.Heads, headCost+int64(end)*byteCost+int64(f.fields)*fieldCost) {
+	if !c.Hold(memory.Heads, headCost+int64(end)*byteCost+int64(f.fields)*fieldCost) || !c.Hold(memory.Requests, requestCost) {
 		return 0, c.refuse(RefusedHead, http.StatusServiceUnavailable)
 	}
 	c.clearHeadTime()
@@ -261,6 +269,9 @@
 		r.left -= k
 		n += int(k)
 	}
+	if r.inChunks || r.left > int64(c.listener.bounds.ReceiveBytes) {
+		c.beginLongBody()
+	}
 	if direct {
 		c.keepBytes(data[n:])
 	} else {
--- a/memory/account.go
+++ b/memory/account.go
@@ -31,14 +31,18 @@
 	Responses
 	// Results are replies of stage workers.
 	Results
+	// Requests is what each request in progress takes up beside its head and body.
+	Requests
+	// Buffers are receive buffers of the kernel that are larger than others, or may be full.
+	Buffers
 	kindCount
 )
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Connections, Heads, Bodies, Responses, Results} }
+func Kinds() []Kind { return []Kind{Connections, Heads, Bodies, Responses, Results, Requests, Buffers} }
 
 func (k Kind) String() string {
-	return [kindCount]string{"connections", "heads", "bodies", "responses", "results"}[k]
+	return [kindCount]string{"connections", "heads", "bodies", "responses", "results", "requests", "buffers"}[k]
 }
 
 // A Phase is what a connection is doing.
@@ -66,7 +70,7 @@
 	largeStall = time.Second
 	// smallHolding is the largest total in bytes of a connection that may use the reserve. It
 	// is enough for an ordinary request.
-	smallHolding = 48 << 10
+	smallHolding = 72 << 10
 	// reserveShare is the divisor for the reserve: a fifth of the bound is for connections with
 	// small holdings, so that ordinary requests find room while large ones are refused.
 	reserveShare = 5
@@ -232,6 +236,19 @@
 	return v
 }
 
+// TakeSpare charges bytes to the connection if there is room that is not reserved, and reports
+// whether it did. It evicts nothing.
+func (h *Holder) TakeSpare(k Kind, bytes int64) bool {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limit > 0 && a.used+a.awaited+bytes > a.limit-a.limit/reserveShare {
+		return false
+	}
+	h.add(k, bytes)
+	return true
+}
+
 // await records what the holder waits for. The lock must be held.
 func (h *Holder) await(bytes int64) {
 	h.account.awaited += bytes - h.awaits
--- a/memory/process_test.go
+++ b/memory/process_test.go
@@ -300,7 +300,10 @@
 }
 
 // peakMB returns the largest resident memory of the process so far.
-func (n *host) peakMB(t *testing.T) int {
+func (n *host) peakMB(t *testing.T) int { return n.statusMB(t, "VmHWM:") }
+
+// statusMB returns a field of the status of the process that is an amount of memory.
+func (n *host) statusMB(t *testing.T, field string) int {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
 	if err != nil {
@@ -308,7 +311,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if value, ok := strings.CutPrefix(line, field); ok {
 			kb, err := strconv.Atoi(strings.Fields(value)[0])
 			if err != nil {
 				t.Error(err)
@@ -316,7 +319,7 @@
 			return kb / 1000
 		}
 	}
-	t.Error("the status of the process has no peak memory")
+	t.Errorf("the status of the process has no field %s", field)
 	return 0
 }
 
--- a/relay/bounds.go
+++ b/relay/bounds.go
@@ -38,6 +38,9 @@
 	// silentTime is how long a connection whose request makes no progress is kept although a
 	// new one needs its place. It is longer than the round trip of a distant client.
 	silentTime = 300 * time.Millisecond
+	// clientReceiveBytes is the size of the kernel's receive buffer of a client's connection. An
+	// ordinary request fits it.
+	clientReceiveBytes = 16 << 10
 	// boundsInterval is how often refusals are logged and new bounds are put in force.
 	boundsInterval = time.Second
 )
@@ -99,11 +102,20 @@
 func (s *Server) clientBounds() listen.Bounds {
 	return listen.Bounds{
 		Account: &s.bounds.account, Conns: clientConns(s.settings), Count: s.bounds.count,
-		HeadBytes: maxHeaderBytes, HeadTime: headerTimeout,
+		HeadBytes: maxHeaderBytes, HeadTime: headerTimeout, ReceiveBytes: receiveBytes(s.settings),
 		IdleTime: time.Duration(reusedShare * float64(defaultIdleTime)), SilentTime: silentTime,
 	}
 }
 
+// receiveBytes returns the size of the kernel's receive buffer of a client's connection, or 0 if
+// the kernel decides, as the process has no bound of memory.
+func receiveBytes(settings *conf.EntrySettings) int {
+	if settings.Memory == 0 {
+		return 0
+	}
+	return clientReceiveBytes
+}
+
 // probeBounds are the bounds of the listener for readiness checks. Its connections have an
 // account of their own, so that a check is answered whatever clients do.
 func (s *Server) probeBounds() listen.Bounds {
