member: let a node whose clock was set back replace its earlier process

What callers saw: nothing was reported.

Cause: incarnations sort by the time of the start; an earlier one counts as that of a delayed digest.

Change: a node that learns of an incarnation of itself that sorts after its own takes a later one.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -42,6 +42,9 @@
 
 // mergeNode updates the entry of a node. It ignores older information.
 func (g *Group) mergeNode(now time.Time, n Node) {
+	if n.ID == g.self.ID && n.Incarnation > g.self.Incarnation {
+		g.renew(n.Incarnation)
+	}
 	if n.ID == g.self.ID || n.ID == "" {
 		return
 	}
@@ -64,7 +67,7 @@
 }
 
 // isNewer reports whether n is a newer process than p. Incarnations are version 7
-// UUIDs, so they sort by the time when the process started.
+// UUIDs, so they sort by the time when the process started; see renew for clocks that are set back.
 func (g *Group) isNewer(p *Peer, n Node) bool { return n.Incarnation > p.node.Incarnation }
 
 func (g *Group) tick(now time.Time) {
