--- a/relay/missed_config_test.go
+++ b/relay/missed_config_test.go
@@ -50,14 +50,9 @@
 }
 
 var configFaults = []configFault{
-	{"the part of the store is silent", func(d *deployment) int64 {
-		d.store.SetTopicSilent(stand.TopicConfig, true)
-		time.Sleep(500 * time.Millisecond)
-		stand.PutConfig(d.store, firstVersion+1, "/added/")
-		time.Sleep(500 * time.Millisecond)
-		d.store.SetTopicSilent(stand.TopicConfig, false)
-		return firstVersion + 1
-	}},
+	{"the part of the store is silent", silentFor(time.Second)},
+	{"it is silent for 3 s", silentFor(3 * time.Second)},
+	{"it is silent for 8 s", silentFor(8 * time.Second)},
 	{"the store is slow", func(d *deployment) int64 {
 		// The reads that wait already get the first version, and the next ones miss the second.
 		d.store.SetTopicDeaf(stand.TopicConfig, true)
@@ -70,6 +65,19 @@
 	}},
 }
 
+// silentFor returns a fault in which the part of the store that has the configuration is silent for a
+// time. The version is written halfway.
+func silentFor(silence time.Duration) func(d *deployment) int64 {
+	return func(d *deployment) int64 {
+		d.store.SetTopicSilent(stand.TopicConfig, true)
+		time.Sleep(silence / 2)
+		stand.PutConfig(d.store, firstVersion+1, "/added/")
+		time.Sleep(silence / 2)
+		d.store.SetTopicSilent(stand.TopicConfig, false)
+		return firstVersion + 1
+	}
+}
+
 // wantVersion checks that a version is in force on all nodes by a time.
 func (d *deployment) wantVersion(t *testing.T, version int64, by time.Time) {
 	t.Helper()
