relay: contain a panic in the work of one request

One in a handler could leave the lock of the node taken.

Cause: the goroutines of a request had nothing that recovers, and locks were released without defer.

Change: handlers, attempts, stages and stage calls recover; the request fails (502, or its attempt or stage), one line with the stack and a counter say it. Steps of the node and the group release their lock in any case; memberStep is split for that.

The containment of stages has no test of its own.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -69,6 +69,7 @@
 // run makes the attempt.
 func (t *attempt) run(ctx context.Context) {
 	defer t.cancel()
+	defer t.containAttempt()
 	x := t.exchange
 	if failure, err := t.open(ctx); failure != "" {
 		x.post(func() { x.attemptFailed(t, failure, err) })
--- a/relay/client.go
+++ b/relay/client.go
@@ -19,7 +19,11 @@
 
 // serveClient serves one request of a client.
 func (s *Server) serveClient(w http.ResponseWriter, r *http.Request) {
+	var x *exchange
+	id := ""
+	defer func() { s.containRequest(w, id, x, recover()) }()
 	q, err := s.protocol.ParseRequest(r)
+	id = q.ID
 	if err != nil {
 		s.replyInvalid(w, q, http.StatusBadRequest, err.Error(), err)
 		return
@@ -35,7 +39,7 @@
 	q.Number = s.lastNumber.Add(1)
 	q.Connection = connectionOf(r)
 	q.Digest = digestOf(r, q.APIKey, body)
-	x := &exchange{
+	x = &exchange{
 		server: s, writer: w, httpRequest: r, body: body, holder: responseHolder(r), request: q,
 		inbox: make(chan func()), ended: make(chan struct{}), attempts: make(map[int]*attempt), stageCancels: make(map[int]context.CancelFunc),
 	}
@@ -231,7 +235,7 @@
 	number := x.request.Number
 	go func() {
 		defer cancel()
-		event := x.server.runStage(ctx, number, job)
+		event := x.containedStage(func() proxy.Event { return x.server.runStage(ctx, number, job) }, job)
 		if ctx.Err() != nil {
 			x.server.discard(event)
 			return
--- a/relay/deployment_test.go
+++ b/relay/deployment_test.go
@@ -33,6 +33,8 @@
 	change  []func(*stand.Worker)
 	// wrapRegistry wraps the client of the store of a node, if it is not nil.
 	wrapRegistry func(node string, r infra.Registry) infra.Registry
+	// protocol replaces that of the nodes, if it is not nil.
+	protocol Protocol
 }
 
 type testNode struct {
@@ -129,8 +131,12 @@
 	if d.wrapRegistry != nil {
 		registry = d.wrapRegistry(settings.Node, registry)
 	}
+	protocol := d.protocol
+	if protocol == nil {
+		protocol = platform.Adapter{}
+	}
 	server, err := New(Options{
-		Settings: settings, Registry: registry, Origins: store, Protocol: platform.Adapter{},
+		Settings: settings, Registry: registry, Origins: store, Protocol: protocol,
 		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
 	})
 	if err != nil {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -28,6 +28,7 @@
 	views            *prometheus.CounterVec
 	changesServed    *prometheus.CounterVec
 	invalidRecords   *prometheus.CounterVec
+	panics           *prometheus.CounterVec
 	crossings        *prometheus.CounterVec
 	originsShared    *prometheus.CounterVec
 	originLookups    *prometheus.CounterVec
@@ -65,6 +66,7 @@
 		views:            counter("stream_views_total", "Views of a stream by where they come from: the store or another node.", "stream", "source"),
 		changesServed:    counter("stream_changes_served_total", "Questions of other nodes for the records of a stream.", "stream", "result"),
 		invalidRecords:   counter("invalid_records_total", "Records that could not be read.", "kind"),
+		panics:           counter("panics_total", "Panics in the work of requests.", "work"),
 		crossings:        counter("stage_results_crossed_total", "Results of stages made in another zone than they are needed in.", "service"),
 		originsShared:    counter("stream_origins_shared_total", "Records of the versions that streams began at.", "result"),
 		casesWritten:     counter("crash_cases_written_total", "Cases of parts of requests at upstreams that ended, as written to the store.", "result"),
@@ -79,7 +81,7 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "teaselplank_" + name, Help: help}, value)
 	}
 	m.registry.MustRegister(
-		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.storeCalls, m.views, m.changesServed, m.invalidRecords,
+		m.decisions, m.upstreamFailures, m.peerFailures, m.reads, m.storeCalls, m.views, m.changesServed, m.invalidRecords, m.panics,
 		m.crossings, m.originsShared, m.originLookups, m.casesWritten, m.callTimes, m.decisionTimes, m.stageTimes, m.overruns, m.storeReadTimes, &stateGauges{s}, s.bounds,
 		gauge("requests_under_way", "Requests under way.", func() float64 { return float64(s.requestCount()) }),
 		gauge("poisonous_parts", "Sets of parts of requests that requests are held back for.", func() float64 {
--- a/relay/owner.go
+++ b/relay/owner.go
@@ -152,7 +152,7 @@
 // sendCall sends pieces to a worker and passes their outcomes to the scheduler.
 func (o *owner) sendCall(c batch.Call) {
 	started := time.Now()
-	outcomes, failure := o.callWorker(c)
+	outcomes, failure := o.containedCall(c)
 	if o.server.context.Err() != nil {
 		// The call may have failed only because this node has closed its connections.
 		o.step(batch.Close{})
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -275,47 +275,62 @@
 	return p.server.serveChanges(ctx, m), nil
 }
 
+// A memberOutcome is what is left to do after a step of the group, without the lock.
+type memberOutcome struct {
+	sends       []member.Gossip
+	limits      []limit.Limit
+	paces       []limit.Limit
+	evacuations []evac.State
+	// draining is true if an upstream has begun to drain.
+	draining bool
+	live     int
+	// newer is the address of a node with a newer configuration, or empty.
+	newer string
+}
+
 // memberStep applies an event to the group and performs its effects.
 func (s *Server) memberStep(event member.Event) {
+	o := s.stepGroup(event)
+	s.step(proxy.NodeCount{Count: o.live})
+	s.limitsChanged(o.limits)
+	s.pacesChanged(o.paces)
+	s.evacuationsChanged(o.evacuations, event)
+	if o.draining {
+		s.updateReducers()
+	}
+	for _, g := range o.sends {
+		go s.sendDigest(g)
+	}
+	if o.newer != "" {
+		go s.fetchState(o.newer)
+	}
+}
+
+// stepGroup applies an event to the group. A panic leaves the lock free.
+func (s *Server) stepGroup(event member.Event) memberOutcome {
 	s.mu.Lock()
-	var sends []member.Gossip
-	var limits, paces []limit.Limit
-	var evacuations []evac.State
-	changed := false
+	defer s.mu.Unlock()
+	var o memberOutcome
 	for _, e := range s.group.Step(s.now(), event) {
 		switch e := e.(type) {
 		case member.Gossip:
-			sends = append(sends, e)
+			o.sends = append(o.sends, e)
 		case member.MarkAdded:
-			changed = s.applyMark(e.Mark) || changed
+			o.draining = s.applyMark(e.Mark) || o.draining
 		case member.LimitChanged:
-			limits = append(limits, e.Limit)
+			o.limits = append(o.limits, e.Limit)
 		case member.PaceChanged:
-			paces = append(paces, e.Pace)
+			o.paces = append(o.paces, e.Pace)
 		case member.EvacuationChanged:
 			s.applyEvacuation(e.State)
-			evacuations = append(evacuations, e.State)
+			o.evacuations = append(o.evacuations, e.State)
 		}
 	}
-	live := len(s.group.Live())
-	var newer string
+	o.live = len(s.group.Live())
 	if received, ok := event.(member.DigestReceived); ok {
-		newer = s.newerConfigAddr(received.Digest)
-	}
-	s.mu.Unlock()
-	s.step(proxy.NodeCount{Count: live})
-	s.limitsChanged(limits)
-	s.pacesChanged(paces)
-	s.evacuationsChanged(evacuations, event)
-	if changed {
-		s.updateReducers()
-	}
-	for _, g := range sends {
-		go s.sendDigest(g)
-	}
-	if newer != "" {
-		go s.fetchState(newer)
+		o.newer = s.newerConfigAddr(received.Digest)
 	}
+	return o
 }
 
 // applyMark marks a leaving upstream as draining and reports whether that changes the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -218,10 +218,14 @@
 // step applies an event to the node. It performs the effects that concern no single
 // request and returns the others.
 func (s *Server) step(event proxy.Event) []proxy.Effect {
+	return s.perform(s.stepNode(event))
+}
+
+// stepNode applies an event to the node and returns the effects. A panic leaves the lock free.
+func (s *Server) stepNode(event proxy.Event) []proxy.Effect {
 	s.mu.Lock()
-	effects := s.node.Step(s.now(), event)
-	s.mu.Unlock()
-	return s.perform(effects)
+	defer s.mu.Unlock()
+	return s.node.Step(s.now(), event)
 }
 
 // perform performs the effects that concern no single request and returns the others.
