relay: do not suspect a node that refuses a job as not valid

What callers saw: nothing was reported.

Cause: each error of the call but silence counted against the node.

Evidence: TestNodeSuspectedForRefusingJob fails before.

Change: twirp's codes for messages that are not valid do not count. The test passes.

--- a/relay/odd_count_test.go
+++ b/relay/odd_count_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 	"testing"
+	"time"
 
 	"teaselplank/batch"
 	"teaselplank/peerpb"
@@ -25,6 +26,20 @@
 	}
 }
 
+// Guards against a sound node that others take for a faulty one, and do not ask any more, as it has
+// refused a job that is not valid.
+func TestNodeSuspectedForRefusingJob(t *testing.T) {
+	d := deploy(t, 2)
+	asker, asked := d.nodes[0].server, d.nodes[1].server
+	job := batch.Job{Ref: batch.Ref{Request: "odd"}, Service: stand.ServiceEncode, Pieces: batch.MaxJobPieces + 1, Key: "key", Deadline: time.Now().Add(time.Second)}
+	if event, ok := asker.runRemote(t.Context(), asked.self, 1, job); ok {
+		t.Errorf("the job has the outcome %v, want that the node does not run it", event)
+	}
+	if asker.peers.isSuspect(asked.self.Addr) {
+		t.Error("the node that refused the job is suspected")
+	}
+}
+
 // A message from another program with such a number must be refused, not run.
 func TestJobWithOddPieceCount(t *testing.T) {
 	d := deploy(t, 1)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -148,7 +149,7 @@
 		s.metrics.countPeerFailure("run")
 		s.logDecision(trace.OwnerFailed, "request", job.Ref.Request, "service", job.Service, "owner", node.ID,
 			"silent", ctx.Err() != nil, "moved", err == nil)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !isRefusedMessage(err) {
 			// A silent node was marked when its calls were cancelled.
 			s.peers.markSuspect(node.Addr)
 		}
@@ -163,6 +164,13 @@
 	return proxy.StageDone{Number: number, Stage: job.Ref.Stage, Results: resultsOf(reply.GetResults())}, true
 }
 
+// isRefusedMessage reports whether a node has answered that a message is not valid, which says nothing
+// against the node.
+func isRefusedMessage(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && (answer.Code() == twirp.InvalidArgument || answer.Code() == twirp.Malformed)
+}
+
 // isWhole reports whether a reply has a result for each piece, or the reason why there are
 // none.
 func isWhole(reply *peerpb.JobReply, pieces int) bool {
