--- a/relay/store.go
+++ b/relay/store.go
@@ -155,16 +155,7 @@
 			backoff = min(2*backoff, maxReadBackoff)
 		case cursor.Advance(page):
 			backoff = minReadBackoff
-			if f.observe != nil {
-				f.observe(page, all)
-			}
-			page.Records = f.reading.add(s.now(), all, from, page)
-			if all || len(page.Records) > 0 {
-				f.apply(page, all)
-				if late && !all && f.missed != nil {
-					f.missed()
-				}
-			}
+			s.applyNews(f, news{page: page, all: all, from: from, late: late})
 			s.sleep(f.reading.pause(f.pause()))
 		default:
 			f.reading.reset()
@@ -172,6 +163,32 @@
 	}
 }
 
+// The news of a stream are a page that a read has returned, of which a part may be known already.
+type news struct {
+	page infra.Page
+	// all is true if the page has the newest record of each key, and not the changes from the
+	// offset from on.
+	all  bool
+	from int64
+	// late is true if a read before may have missed the changes.
+	late bool
+}
+
+// applyNews passes on what a page says that is new.
+func (s *Server) applyNews(f feed, n news) {
+	if f.observe != nil {
+		f.observe(n.page, n.all)
+	}
+	n.page.Records = f.reading.add(s.now(), n.all, n.from, n.page)
+	if !n.all && len(n.page.Records) == 0 {
+		return
+	}
+	f.apply(n.page, n.all)
+	if n.late && !n.all && f.missed != nil {
+		f.missed()
+	}
+}
+
 // observeEpoch starts a grace period for upstreams if the store was restored from a copy,
 // restarts the reads that wait for changes, and lets the node write its own entry again.
 func (s *Server) observeEpoch(epoch infra.Epoch) {
