relay: let a read that was sent again wait as long as others

No change for callers: a read that its own node had ended was followed by a short one, as after a failure, at the price of a call to the store.

--- a/relay/store.go
+++ b/relay/store.go
@@ -141,7 +141,7 @@
 		late := repeated || resent || s.now().Sub(started) >= pollWait
 		resent = errors.Is(err, context.Canceled)
 		pollWait = f.reading.wait(f.wait())
-		if err != nil {
+		if err != nil && !resent {
 			pollWait = min(pollWait, probeWait)
 		}
 		switch {
