--- a/batch/event.go
+++ b/batch/event.go
@@ -19,6 +19,9 @@
 // estimates of a job are products of it.
 const MaxJobPieces = 1 << 16
 
+// MaxResultBytes bounds the size of the result of a piece, like MaxJobPieces.
+const MaxResultBytes = 1 << 40
+
 // A Job is the work of one stage of one request.
 type Job struct {
 	Ref     Ref
--- a/pace/warmup.go
+++ b/pace/warmup.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// maxLeftMS bounds LeftMS: a day.
+const maxLeftMS = 24 * 60 * 60 * 1000
+
 // A Cold is a process that stays cold for some time after another node has said so.
 type Cold struct {
 	Process limit.Process
@@ -99,7 +102,8 @@
 func (w *Warmups) Merge(now time.Time, cold []Cold) {
 	for _, c := range cold {
 		p := w.processes[c.Process.ID]
-		if until := now.Add(time.Duration(c.LeftMS) * time.Millisecond); p != nil && p.entry.Born == c.Process.Born && until.After(p.doubtedUntil) {
+		left := time.Duration(min(max(c.LeftMS, 0), maxLeftMS)) * time.Millisecond
+		if until := now.Add(left); p != nil && p.entry.Born == c.Process.Born && until.After(p.doubtedUntil) {
 			p.doubtedAt, p.doubtedUntil = now, until
 		}
 	}
--- a/relay/readers.go
+++ b/relay/readers.go
@@ -213,7 +213,7 @@
 	}
 	s.answered(f, cursor, a.Node.ID, answer{
 		reply: reply, all: all, from: from,
-		age: time.Duration(reply.GetAgeMs())*time.Millisecond + max(now.Sub(started)-a.Wait, 0),
+		age: milliseconds(reply.GetAgeMs()) + max(now.Sub(started)-a.Wait, 0),
 	})
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -180,7 +180,14 @@
 	return len(reply.GetResults()) == pieces
 }
 
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxMessageTime bounds the times in the messages of other nodes, in both directions.
+const maxMessageTime = 24 * time.Hour
+
+// milliseconds returns a time in a message of another node.
+func milliseconds(n int64) time.Duration {
+	const most = int64(maxMessageTime / time.Millisecond)
+	return time.Duration(min(max(n, -most), most)) * time.Millisecond
+}
 
 func resultsOf(messages []*peerpb.ResultMessage) []batch.Result {
 	results := make([]batch.Result, len(messages))
@@ -221,7 +228,7 @@
 func jobOf(now time.Time, m *peerpb.JobMessage) batch.Job {
 	job := batch.Job{
 		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage()), Run: int(m.GetRun())}, Service: m.GetService(),
-		Pieces: int(m.GetPieces()), ResultBytes: m.GetResultBytes(), Key: m.GetKey(), Inputs: m.GetInputs(),
+		Pieces: int(m.GetPieces()), ResultBytes: min(max(m.GetResultBytes(), 0), batch.MaxResultBytes), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Zone: m.GetZone(), Due: now.Add(milliseconds(m.GetDueMs())), Deadline: now.Add(milliseconds(m.GetLeftMs())),
 		Rank: int(m.GetRank()), Account: m.GetAccount(), Started: m.GetBegun(), StagesDue: now.Add(milliseconds(m.GetFinishMs())),
 		SoleConsumer: m.GetOnlyUser(),
