--- a/pace/warmup.go
+++ b/pace/warmup.go
@@ -5,6 +5,7 @@
 
 	"teaselplank/fleet"
 	"teaselplank/limit"
+	"teaselplank/wire"
 )
 
 // entryLag is how much older than the read before an entry may be that was not in that read:
@@ -87,9 +88,6 @@
 	}
 }
 
-// maxLeftMS bounds LeftMS: a day.
-const maxLeftMS = 24 * 60 * 60 * 1000
-
 // A Cold is a process that stays cold for some time after another node has said so.
 type Cold struct {
 	Process limit.Process
@@ -102,7 +100,7 @@
 func (w *Warmups) Merge(now time.Time, cold []Cold) {
 	for _, c := range cold {
 		p := w.processes[c.Process.ID]
-		left := time.Duration(min(max(c.LeftMS, 0), maxLeftMS)) * time.Millisecond
+		left := max(wire.Milliseconds(c.LeftMS), 0)
 		if until := now.Add(left); p != nil && p.entry.Born == c.Process.Born && until.After(p.doubtedUntil) {
 			p.doubtedAt, p.doubtedUntil = now, until
 		}
--- a/relay/readers.go
+++ b/relay/readers.go
@@ -14,6 +14,7 @@
 	"teaselplank/infra"
 	"teaselplank/member"
 	"teaselplank/peerpb"
+	"teaselplank/wire"
 )
 
 const (
@@ -213,7 +214,7 @@
 	}
 	s.answered(f, cursor, a.Node.ID, answer{
 		reply: reply, all: all, from: from,
-		age: milliseconds(reply.GetAgeMs()) + max(now.Sub(started)-a.Wait, 0),
+		age: wire.Milliseconds(reply.GetAgeMs()) + max(now.Sub(started)-a.Wait, 0),
 	})
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -17,6 +17,7 @@
 	"teaselplank/peerpb"
 	"teaselplank/proxy"
 	"teaselplank/trace"
+	"teaselplank/wire"
 )
 
 // maxOwnerAttempts bounds how many owners a job is submitted to in turn when owners
@@ -158,7 +159,7 @@
 	if len(reply.GetResults()) == 0 {
 		return proxy.StageFailed{
 			Number: number, Stage: job.Ref.Stage, Reason: batch.Reason(reply.GetReason()),
-			RetryAfter: milliseconds(reply.GetRetryAfterMs()),
+			RetryAfter: wire.Milliseconds(reply.GetRetryAfterMs()),
 		}, true
 	}
 	return proxy.StageDone{Number: number, Stage: job.Ref.Stage, Results: resultsOf(reply.GetResults())}, true
@@ -180,15 +181,6 @@
 	return len(reply.GetResults()) == pieces
 }
 
-// maxMessageTime bounds the times in the messages of other nodes, in both directions.
-const maxMessageTime = 24 * time.Hour
-
-// milliseconds returns a time in a message of another node.
-func milliseconds(n int64) time.Duration {
-	const most = int64(maxMessageTime / time.Millisecond)
-	return time.Duration(min(max(n, -most), most)) * time.Millisecond
-}
-
 func resultsOf(messages []*peerpb.ResultMessage) []batch.Result {
 	results := make([]batch.Result, len(messages))
 	for i, m := range messages {
@@ -229,8 +221,8 @@
 	job := batch.Job{
 		Ref: batch.Ref{Request: m.GetRequest(), Stage: int(m.GetStage()), Run: int(m.GetRun())}, Service: m.GetService(),
 		Pieces: int(m.GetPieces()), ResultBytes: min(max(m.GetResultBytes(), 0), batch.MaxResultBytes), Key: m.GetKey(), Inputs: m.GetInputs(),
-		Zone: m.GetZone(), Due: now.Add(milliseconds(m.GetDueMs())), Deadline: now.Add(milliseconds(m.GetLeftMs())),
-		Rank: int(m.GetRank()), Account: m.GetAccount(), Started: m.GetBegun(), StagesDue: now.Add(milliseconds(m.GetFinishMs())),
+		Zone: m.GetZone(), Due: now.Add(wire.Milliseconds(m.GetDueMs())), Deadline: now.Add(wire.Milliseconds(m.GetLeftMs())),
+		Rank: int(m.GetRank()), Account: m.GetAccount(), Started: m.GetBegun(), StagesDue: now.Add(wire.Milliseconds(m.GetFinishMs())),
 		SoleConsumer: m.GetOnlyUser(),
 	}
 	for _, need := range m.GetAhead() {
