--- a/member/gossip.go
+++ b/member/gossip.go
@@ -42,10 +42,11 @@
 
 // mergeNode updates the entry of a node. It ignores older information.
 func (g *Group) mergeNode(now time.Time, n Node) {
-	if n.ID == g.self.ID && n.Incarnation > g.self.Incarnation {
+	switch n.ID {
+	case g.self.ID:
 		g.renew(n.Incarnation)
-	}
-	if n.ID == g.self.ID || n.ID == "" {
+		return
+	case "":
 		return
 	}
 	p := g.peers[n.ID]
--- a/member/renew.go
+++ b/member/renew.go
@@ -11,8 +11,12 @@
 // older one, and ignore it until they forget the first. A node that learns of an incarnation of itself
 // that sorts after its own therefore takes a later one.
 
-// renew takes an incarnation that sorts after one that another node knows of this node.
+// renew takes an incarnation that sorts after one that another node knows of this node, unless its own
+// does already.
 func (g *Group) renew(known string) {
+	if known <= g.self.Incarnation {
+		return
+	}
 	if later, ok := laterIncarnation(known, g.self.Incarnation); ok {
 		g.self.Incarnation = later
 		g.emit(Changed{})
