--- a/relay/client.go
+++ b/relay/client.go
@@ -20,10 +20,9 @@
 // serveClient serves one request of a client.
 func (s *Server) serveClient(w http.ResponseWriter, r *http.Request) {
 	var x *exchange
-	id := ""
-	defer func() { s.containRequest(w, id, x, recover()) }()
+	var q proxy.Request
+	defer func() { s.containRequest(w, q.ID, x, recover()) }()
 	q, err := s.protocol.ParseRequest(r)
-	id = q.ID
 	if err != nil {
 		s.replyInvalid(w, q, http.StatusBadRequest, err.Error(), err)
 		return
@@ -232,10 +231,9 @@
 func (x *exchange) runStage(job batch.Job) {
 	ctx, cancel := context.WithCancel(x.context)
 	x.stageCancels[job.Ref.Stage] = cancel
-	number := x.request.Number
 	go func() {
 		defer cancel()
-		event := x.containedStage(func() proxy.Event { return x.server.runStage(ctx, number, job) }, job)
+		event := x.containedStage(ctx, job)
 		if ctx.Err() != nil {
 			x.server.discard(event)
 			return
--- a/relay/contain.go
+++ b/relay/contain.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -88,14 +89,14 @@
 }
 
 // containedStage runs a stage, which fails if that panics.
-func (x *exchange) containedStage(run func() proxy.Event, job batch.Job) (event proxy.Event) {
+func (x *exchange) containedStage(ctx context.Context, job batch.Job) (event proxy.Event) {
 	defer func() {
 		if value := recover(); value != nil {
 			x.server.reportPanic(workStage, x.request.ID, value)
 			event = proxy.StageFailed{Number: x.request.Number, Stage: job.Ref.Stage, Reason: batch.ReasonFailed}
 		}
 	}()
-	return run()
+	return x.server.runStage(ctx, x.request.Number, job)
 }
 
 // containedCall calls a stage worker. If that panics, the pieces of the call fail, and the worker does
