Test: start servers and play faults of the configuration in one place

The checks and their expectations are as they were. Three tests of listen started a server in the same lines, two of relay went through the same faults and sizes, and the stand-in of the store named one topic twice (TopicConfig, TopicOperator).

--- a/listen/bounds_test.go
+++ b/listen/bounds_test.go
@@ -54,10 +54,16 @@
 		}
 		fmt.Fprintf(w, "%s %d %s", r.URL.Path, len(r.Header), body)
 	})}
+	s.start(t, server)
+	return s
+}
+
+// start lets a server serve the listener.
+func (s *served) start(t *testing.T, server *http.Server) {
+	t.Helper()
 	s.listener.Attach(server)
 	go func() { _ = server.Serve(s.listener) }() // Serve returns when the server is closed.
 	t.Cleanup(func() { server.Close() })
-	return s
 }
 
 func (s *served) count(r Refusal) int {
--- a/listen/leave_test.go
+++ b/listen/leave_test.go
@@ -39,9 +39,7 @@
 					left <- false
 				}
 			})}
-			s.listener.Attach(server)
-			go func() { _ = server.Serve(s.listener) }() // Serve returns when the server is closed.
-			t.Cleanup(func() { server.Close() })
+			s.start(t, server)
 			client := s.dial(t)
 			client.send(t, strings.Repeat(request, 1+c.ahead))
 			<-running
--- a/listen/receive_test.go
+++ b/listen/receive_test.go
@@ -52,9 +52,7 @@
 		<-done
 		fmt.Fprint(w, n)
 	})}
-	s.listener.Attach(server)
-	go func() { _ = server.Serve(s.listener) }() // Serve returns when the server is closed.
-	t.Cleanup(func() { server.Close() })
+	s.start(t, server)
 	return running
 }
 
--- a/relay/missed_config_test.go
+++ b/relay/missed_config_test.go
@@ -55,12 +55,12 @@
 	{"it is silent for 8 s", silentFor(8 * time.Second)},
 	{"the store is slow", func(d *deployment) int64 {
 		// The reads that wait already get the first version, and the next ones miss the second.
-		d.store.SetTopicDeaf(stand.TopicConfig, true)
+		d.store.SetTopicDeaf(stand.TopicOperator, true)
 		stand.PutConfig(d.store, firstVersion+1)
 		time.Sleep(300 * time.Millisecond)
 		stand.PutConfig(d.store, firstVersion+2, "/added/")
 		time.Sleep(300 * time.Millisecond)
-		d.store.SetTopicDeaf(stand.TopicConfig, false)
+		d.store.SetTopicDeaf(stand.TopicOperator, false)
 		return firstVersion + 2
 	}},
 }
@@ -69,11 +69,11 @@
 // time. The version is written halfway.
 func silentFor(silence time.Duration) func(d *deployment) int64 {
 	return func(d *deployment) int64 {
-		d.store.SetTopicSilent(stand.TopicConfig, true)
+		d.store.SetTopicSilent(stand.TopicOperator, true)
 		time.Sleep(silence / 2)
 		stand.PutConfig(d.store, firstVersion+1, "/added/")
 		time.Sleep(silence / 2)
-		d.store.SetTopicSilent(stand.TopicConfig, false)
+		d.store.SetTopicSilent(stand.TopicOperator, false)
 		return firstVersion + 1
 	}
 }
@@ -101,24 +101,30 @@
 // Guards against a configuration that no node knows before its read of it has waited in vain, as
 // the reads of all nodes missed it.
 func TestConfigMissedByWaitingReads(t *testing.T) {
+	atEachFault(t, func(t *testing.T, d *deployment, fault configFault) {
+		d.await("the nodes know each other", func() bool { return d.allKnown(len(d.nodes)) })
+		// The reads before it were sent when nodes knew few others.
+		stand.PutConfig(d.store, firstVersion)
+		d.wantVersion(t, firstVersion, time.Now().Add(configTime))
+		version := fault.write(d)
+		settled := time.Now().Add(settleTime)
+		d.wantVersion(t, version, settled)
+		t.Log("in force after", time.Since(settled.Add(-settleTime)))
+		stand.PutConfig(d.store, version+1)
+		d.wantVersion(t, version+1, laterOf(settled, time.Now().Add(configTime)))
+		time.Sleep(time.Until(settled))
+		stand.PutConfig(d.store, version+2)
+		d.wantVersion(t, version+2, time.Now().Add(configTime))
+	})
+}
+
+// atEachFault runs a check for each fault, with deployments of several sizes.
+func atEachFault(t *testing.T, check func(t *testing.T, d *deployment, fault configFault)) {
 	for _, nodes := range []int{1, 7, 14} {
 		for _, fault := range configFaults {
 			t.Run(fmt.Sprintf("%s, %d nodes", fault.name, nodes), func(t *testing.T) {
 				t.Parallel()
-				d := deploy(t, nodes)
-				d.await("the nodes know each other", func() bool { return d.allKnown(nodes) })
-				// The reads before it were sent when nodes knew few others.
-				stand.PutConfig(d.store, firstVersion)
-				d.wantVersion(t, firstVersion, time.Now().Add(configTime))
-				version := fault.write(d)
-				settled := time.Now().Add(settleTime)
-				d.wantVersion(t, version, settled)
-				t.Log("in force after", time.Since(settled.Add(-settleTime)))
-				stand.PutConfig(d.store, version+1)
-				d.wantVersion(t, version+1, laterOf(settled, time.Now().Add(configTime)))
-				time.Sleep(time.Until(settled))
-				stand.PutConfig(d.store, version+2)
-				d.wantVersion(t, version+2, time.Now().Add(configTime))
+				check(t, deploy(t, nodes), fault)
 			})
 		}
 	}
@@ -134,17 +140,11 @@
 // Guards against the same just after nodes have started: the reads that wait were sent when their
 // nodes knew few others, so that their turns may coincide.
 func TestConfigMissedAfterStart(t *testing.T) {
-	for _, nodes := range []int{1, 7, 14} {
-		for _, fault := range configFaults {
-			t.Run(fmt.Sprintf("%s, %d nodes", fault.name, nodes), func(t *testing.T) {
-				t.Parallel()
-				d := deploy(t, nodes)
-				time.Sleep(settleTime)
-				version := fault.write(d)
-				d.wantVersion(t, version, time.Now().Add(settleTime))
-			})
-		}
-	}
+	atEachFault(t, func(t *testing.T, d *deployment, fault configFault) {
+		time.Sleep(settleTime)
+		version := fault.write(d)
+		d.wantVersion(t, version, time.Now().Add(settleTime))
+	})
 }
 
 // Guards against the cause of the same, which needs no fault to be seen: the reads that wait leave a
