--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Restarts the entry hosts one after the other while the workers of a service are full, and checks
-# the retry budget. Exits with 1 if it was exceeded, 0 if it held and 2 if the case could not run.
-# TROUBLE=0 leaves out the restarts.
+# Cuts hosts that read the store for others off from it, one at a time, while workers leave, and
+# checks that no other host sends requests to these workers too late. Exits with 1 if one did, 0 if
+# none did and 2 if the case could not run. TROUBLE=0 leaves out the cuts.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/teaselplank target/review-3/lab-3; do
 	if [ ! -x "$program" ]; then
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec target/review-3/lab-3 budget review/11
+exec target/review-3/lab-3 reader review/11
--- a/review/lab-3/budget.go
+++ b/review/lab-3/budget.go
@@ -52,7 +52,7 @@
 		return unknown, err
 	}
 	c.waiting.Wait()
-	return c.checkBudget(desk.taken()), nil
+	return c.checkBudget(desk.all()), nil
 }
 
 const (
--- a/review/lab-3/host.go
+++ b/review/lab-3/host.go
@@ -159,17 +159,33 @@
 
 // startHosts starts a host in each zone and waits until all are ready and know each other.
 func startHosts(l *lab, store string, zones []string) ([]*host, error) {
+	return startLinkedHosts(l, len(zones), zones, func(string) (string, error) { return store, nil })
+}
+
+// maxSeeds is the number of hosts that the settings name to others.
+const maxSeeds = 3
+
+// startLinkedHosts is like startHosts, with a number of hosts and an address of the store for each.
+func startLinkedHosts(l *lab, count int, zones []string, storeOf func(name string) (string, error)) ([]*host, error) {
 	var hosts []*host
 	var seeds []string
-	for i, zone := range zones {
-		h, err := newHost(l.dir, fmt.Sprintf("entry-%d", i+1), zone, fmt.Sprintf("127.0.77.%d", i+1), store, seeds)
+	for i := range count {
+		name := fmt.Sprintf("entry-%d", i+1)
+		store, err := storeOf(name)
+		if err != nil {
+			return hosts, err
+		}
+		h, err := newHost(l.dir, name, zones[i%len(zones)], fmt.Sprintf("127.0.77.%d", i+1), store, seeds)
 		if err != nil {
 			return hosts, err
 		}
 		if err := h.start(); err != nil {
 			return hosts, err
 		}
-		hosts, seeds = append(hosts, h), append(seeds, h.peers)
+		hosts = append(hosts, h)
+		if len(seeds) < maxSeeds {
+			seeds = append(seeds, h.peers)
+		}
 	}
 	if err := awaitReady(hosts, readyLimit); err != nil {
 		return hosts, err
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -36,6 +36,7 @@
 
 var cases = map[string]func(*lab) (int, error){
 	"budget": runBudget,
+	"reader": runReader,
 }
 
 func main() {
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -25,6 +25,10 @@
 	lab      *lab
 	workers  []*stand.Worker
 	arrivals chan arrival
+	// kept are the arrivals that were taken from the channel, and recent the number of the latest
+	// ones by worker.
+	kept   []arrival
+	recent map[string]int
 }
 
 // requestID returns the id of a client's request, by its prefix, so that the name of its header
@@ -71,15 +75,27 @@
 	return listener.Addr().String(), nil
 }
 
-// taken returns all arrivals so far.
-func (d *desk) taken() []arrival {
-	var list []arrival
+// all returns all arrivals so far.
+func (d *desk) all() []arrival {
+	d.keep(time.Now())
+	return d.kept
+}
+
+// keep takes the arrivals so far, and counts for each worker those after a time.
+func (d *desk) keep(after time.Time) {
 	for {
 		select {
 		case a := <-d.arrivals:
-			list = append(list, a)
+			d.kept = append(d.kept, a)
+			continue
 		default:
-			return list
+		}
+		break
+	}
+	d.recent = make(map[string]int)
+	for _, a := range d.kept {
+		if a.at.After(after) {
+			d.recent[a.worker]++
 		}
 	}
 }
