--- a/review/lab-3/budget.go
+++ b/review/lab-3/budget.go
@@ -99,10 +99,8 @@
 	// interval is the time between two requests, and path that of their route.
 	interval time.Duration
 	path     string
-	// pieces are the numbers of pieces of the stages, or empty.
-	pieces  string
-	waiting sync.WaitGroup
-	sent    []time.Time
+	waiting  sync.WaitGroup
+	sent     []time.Time
 }
 
 // sendFor sends requests for some time.
