--- a/review/lab-3/link.go
+++ b/review/lab-3/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // A link is a TCP proxy between a host and the store, which can be cut: open connections are reset
@@ -15,6 +16,8 @@
 	mu       sync.Mutex
 	cut      bool
 	conns    map[net.Conn]struct{}
+	// sent are the times at which the host has sent something.
+	sent []time.Time
 }
 
 func newLink(target string) (*link, error) {
@@ -57,12 +60,14 @@
 		return
 	}
 	var both sync.WaitGroup
-	for _, pair := range [][2]net.Conn{{client, store}, {store, client}} {
-		both.Go(func() {
-			_, _ = io.Copy(pair[0], pair[1])
-			pair[0].Close()
-		})
-	}
+	both.Go(func() {
+		_, _ = io.Copy(store, noted{client, k})
+		store.Close()
+	})
+	both.Go(func() {
+		_, _ = io.Copy(client, store)
+		client.Close()
+	})
 	both.Wait()
 	k.mu.Lock()
 	delete(k.conns, client)
@@ -70,6 +75,28 @@
 	k.mu.Unlock()
 }
 
+// noted notes when something is read from a host.
+type noted struct {
+	net.Conn
+	link *link
+}
+
+// Read implements io.Reader.
+func (n noted) Read(b []byte) (int, error) {
+	count, err := n.Conn.Read(b)
+	n.link.mu.Lock()
+	defer n.link.mu.Unlock()
+	n.link.sent = append(n.link.sent, time.Now())
+	return count, err
+}
+
+// requests returns how often the host has sent something to the store since a time.
+func (k *link) requests(since time.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return countBetween(k.sent, since, time.Now())
+}
+
 // set cuts the link or mends it.
 func (k *link) set(cut bool) {
 	k.mu.Lock()
--- a/review/lab-3/reader.go
+++ b/review/lab-3/reader.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -66,9 +64,9 @@
 	time.Sleep(2 * time.Second)
 	var leaves []leave
 	for range cutRounds {
-		reader := findReader(hosts, leaves)
+		reader := findReader(hosts, links, leaves)
 		if reader == nil {
-			return unknown, fmt.Errorf("no host reads the store for others")
+			return unknown, errors.New("no host reads the store for others")
 		}
 		cutAt := time.Now()
 		if l.trouble {
@@ -92,18 +90,18 @@
 	return a.checkLeaves(leaves, desk.all()), nil
 }
 
-// findReader returns a host whose log says that it reads the upstreams for others. It prefers one
-// that was not cut off before, as others may still avoid that.
-func findReader(hosts []*host, leaves []leave) *host {
+// findReader returns the host that has sent most requests to the store lately: hosts that read it
+// for others ask it more than once a second, and those that follow them hardly ever. It leaves out
+// those that were cut off before, as others may still avoid them.
+func findReader(hosts []*host, links map[string]*link, leaves []leave) *host {
+	since := time.Now().Add(-recentTime)
 	var found *host
+	most := 0
 	for _, h := range hosts {
-		if h.role("upstreams") != "reader" {
-			continue
+		wasCut := slices.ContainsFunc(leaves, func(v leave) bool { return v.cut == h.name })
+		if n := links[h.name].requests(since); !wasCut && n > most {
+			found, most = h, n
 		}
-		if !slices.ContainsFunc(leaves, func(v leave) bool { return v.cut == h.name }) {
-			return h
-		}
-		found = h
 	}
 	return found
 }
@@ -124,22 +122,6 @@
 // recentTime is how far back requests count for take.
 const recentTime = 2 * time.Second
 
-// role returns the last role of the host for a stream of the store, from its log.
-func (h *host) role(stream string) string {
-	text, err := os.ReadFile(h.log.Name())
-	if err != nil {
-		return ""
-	}
-	role := ""
-	for line := range bytes.Lines(text) {
-		var entry struct{ Msg, Stream, Role string }
-		if json.Unmarshal(line, &entry) == nil && entry.Msg == "reading of a stream changes" && entry.Stream == stream {
-			role = entry.Role
-		}
-	}
-	return role
-}
-
 // A leave is a worker whose entry was removed, and the host that was cut off then.
 type leave struct {
 	worker, cut string
