relay: count a store outage by the missing view, not by a failed call

Cause: any failed call started the grace period for entries that expire in an outage of the store, in which removals wait for 3.4 s. A follower whose reader answers "not available" counted that as an outage of its own, although another reader had answered 1 ms later and its view was 0.5 s old.

Change: the grace period starts only if the node had no view of the entries for so long that the lease of a live upstream may have expired: two heartbeats, less half a one for late renewals, or several gaps together so long within a lease (fleet.Outages). A node that has had no view yet still starts it at any failure. "store is reachable again" says how long the view was missing, and whether removals are deferred.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -69,9 +69,9 @@
 // A Directory holds the registered upstreams. The zero value is empty.
 //
 // An upstream whose entry disappears is removed at once, except shortly after a store
-// outage or the restoration of the store from a copy. Its lease may then have expired only
-// because of the outage, or its entry may be missing in the copy, so the upstream stays
-// until the end of the grace period in case its entry is written again.
+// outage in which its lease may have expired, or after the restoration of the store from a
+// copy, in which its entry may be missing. The upstream stays until the end of a grace period
+// then, in case its entry is written again.
 //
 // The directory remembers removed upstreams. An entry of one of them counts only if the
 // process wrote it after the entry last seen, so that a restored store or a peer that
@@ -116,8 +116,9 @@
 	removeAt time.Time
 }
 
-// StoreRecovered starts the grace period after a store outage or a restoration of the
-// store, given how much later than written entries are known.
+// StoreRecovered starts the grace period after a store outage in which leases may have expired
+// (see Lease), or after a restoration of the store, given how much later than written entries are
+// known.
 func (d *Directory) StoreRecovered(now time.Time, lag time.Duration) {
 	d.graceUntil = now.Add(rewriteTime + lag)
 }
--- a/relay/reads.go
+++ b/relay/reads.go
@@ -140,19 +140,28 @@
 	}
 }
 
-// viewed records that the view of a stream was whole at a time. It logs the end of a store
-// outage, which has also ended if the store answered a repeat of a read, but not the read itself.
+// viewed records that the view of a stream was whole at a time. It logs the end of a series of
+// failed calls, which has also ended if the store answered a repeat of a read, but not the read
+// itself. Calls that have failed do not mean that the store was away: another node, or the next
+// call, may have had the records in time. Only the time without a view counts as an outage.
 func (s *Server) viewed(stream infra.Stream, at time.Time, repeated bool) {
 	now := s.now()
 	s.mu.Lock()
 	state := s.streamState(stream)
-	away, recovered := now.Sub(state.lastRead), state.failing || repeated
-	state.failing = false
+	missed, recovered, known := at.Sub(state.lastRead), state.failing || repeated, state.known
+	grace := false
+	if recovered && stream == infra.StreamUpstreams {
+		// A node that has had no view does not know for how long the store was away.
+		grace = s.outages.Add(state.lastRead, at) || !known
+	}
+	state.failing, state.known = false, true
 	if at.After(state.lastRead) {
 		state.lastRead = at
 	}
-	if recovered && stream == infra.StreamUpstreams {
+	if grace {
 		s.directory.StoreRecovered(now, s.upstreamsLag())
+	}
+	if recovered && stream == infra.StreamUpstreams {
 		// If the long reads were sent before the store stopped answering, they may
 		// get no answer although newer reads do.
 		s.streamState(infra.StreamConfig).cancelRead()
@@ -160,6 +169,6 @@
 	}
 	s.mu.Unlock()
 	if recovered {
-		s.logger.Info("store is reachable again", "stream", string(stream), "away_ms", away.Milliseconds(), "repeated", repeated)
+		s.logger.Info("store is reachable again", "stream", string(stream), "missed_ms", missed.Milliseconds(), "repeated", repeated, "grace", grace)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,6 +97,8 @@
 	node      *proxy.Node
 	group     *member.Group
 	directory fleet.Directory
+	// outages tells whether entries of live upstreams may have expired in an outage of the store.
+	outages fleet.Outages
 	// config is the configuration in force. fetchingVersion is the version being
 	// fetched from a peer, or 0.
 	config          configuration
--- a/relay/store.go
+++ b/relay/store.go
@@ -100,9 +100,10 @@
 // A streamState is the state of reading a stream of the store. The zero value has read
 // nothing.
 type streamState struct {
-	// lastRead is when a read last succeeded, or when the node started reading.
-	// failing is true if the last read failed.
+	// lastRead is when the view was last known to be whole, or when the node started
+	// reading. known is true once it was. failing is true if the last read failed.
 	lastRead time.Time
+	known    bool
 	failing  bool
 	// cancel cancels the latest read for changes, which waits for them until waitsUntil. It is
 	// nil before the first one.
