conf: take the heartbeat of upstreams from the settings

How long the store must be away until a lease of a live upstream may expire depends on how often upstreams renew it. The platform tells that in its settings (1.2 s in all deployments in force, which stays the default); a deployment with other heartbeats gets a grace period that fits its leases. No change where the heartbeat is 1.2 s.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -28,6 +28,9 @@
 	Advertise string
 	// Store is the address of the platform's store.
 	Store string
+	// Heartbeat is the time between two entries that an upstream writes to the store, or 0 for the
+	// default of fleet.Lease.
+	Heartbeat time.Duration
 	// Seeds are the addresses of the other nodes to contact first.
 	Seeds []string
 	// Budget is the retry budget that all nodes share.
@@ -100,6 +103,7 @@
 		{"listen", "advertise", false, optional(address(&e.Advertise))},
 
 		{"platform", "store", true, address(&e.Store)},
+		{"platform", "heartbeat_ms", false, optional(milliseconds(&e.Heartbeat))},
 
 		{"members", "seeds", false, optional(addresses(&e.Seeds))},
 
@@ -137,6 +141,20 @@
 	}
 }
 
+// maxShortTime bounds the times that are given in milliseconds.
+const maxShortTime = time.Hour
+
+func milliseconds(dst *time.Duration) func(string) error {
+	return func(value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 1 || n > int(maxShortTime.Milliseconds()) {
+			return fmt.Errorf("%q is not a number of milliseconds from 1 to %d", value, maxShortTime.Milliseconds())
+		}
+		*dst = time.Duration(n) * time.Millisecond
+		return nil
+	}
+}
+
 func nonNegative(dst *float64) func(string) error {
 	return func(value string) error {
 		f, err := strconv.ParseFloat(value, 64)
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -45,6 +45,33 @@
 	})
 }
 
+func TestParseEntryHeartbeat(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want time.Duration
+	}{
+		"missing": {"", 0},
+		"empty":   {"heartbeat_ms =\n", 0},
+		"set":     {"heartbeat_ms = 800\n", 800 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, err := ParseEntry("node.ini", []byte(strings.Replace(validEntry, "[members]", c.text+"[members]", 1)))
+			if err != nil || e.Heartbeat != c.want {
+				t.Errorf("settings are %+v (%v), want a heartbeat of %s", e, err, c.want)
+			}
+		})
+	}
+}
+
+func TestParseEntryHeartbeatErrors(t *testing.T) {
+	for _, value := range []string{"0", "-1", "1.5", "800ms", "3600001", "99999999999999999999"} {
+		_, err := ParseEntry("node.ini", []byte(strings.Replace(validEntry, "[members]", "heartbeat_ms = "+value+"\n[members]", 1)))
+		if err == nil || !strings.Contains(err.Error(), "is not a number of milliseconds") {
+			t.Errorf("heartbeat %q: error is %v, want one that names it", value, err)
+		}
+	}
+}
+
 // A file with several errors reports all of them, each with its location.
 func TestParseEntryErrors(t *testing.T) {
 	bad := strings.NewReplacer("id = entry-1\n", "", "10.0.0.9:5", "store", "grace = 8s", "grace = soon", "ratio = 0.2", "ratio = -1", "4100", "100", "[members]", "[others]").Replace(validEntry)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -182,6 +182,7 @@
 		bounds:   newBounds(o.Settings),
 		streams:  make(map[infra.Stream]*streamState),
 		restored: make(chan struct{}, 1),
+		outages:  fleet.Outages{Lease: fleet.Lease{Heartbeat: o.Settings.Heartbeat}},
 		context:  ctx,
 		close:    cancel,
 
