budget: give a process that takes over a part of its host's retries

Cause: a host counts its retries in memory only. A process that starts within the window in which the one before it used the host's part of the fixed number had the whole part again.

Change: in its first window a process has a fifth of the host's part, so that both processes together stay within it. The settings say when the whole deployment starts for the first time ([node] first_start); otherwise a process before this one is assumed.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -14,8 +14,23 @@
 	Slack float64
 	// Window is the length of the sliding time window.
 	Window time.Duration
+	// Started is when this process took the place of another one, which may have used the node's part
+	// of Slack shortly before. It is zero if there was none.
+	Started time.Time
 }
 
+// slackOf returns the node's part of the fixed number at a time.
+func (c Config) slackOf(now time.Time, nodes int) float64 {
+	part := c.Slack / float64(max(nodes, 1))
+	if !c.Started.IsZero() && now.Sub(c.Started) < c.Window+c.bucketLength() {
+		return part * takeoverFactor
+	}
+	return part
+}
+
+// bucketLength returns the length of the time interval of a bucket.
+func (c Config) bucketLength() time.Duration { return c.Window / (bucketCount - 1) }
+
 // DefaultConfig returns the budget that applies if the settings do not set one.
 func DefaultConfig() Config {
 	return Config{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}
@@ -28,6 +43,9 @@
 	// safetyFactor is the share of the budget that is used, because the buckets of
 	// different nodes differ at the edges of a window.
 	safetyFactor = 0.7
+	// takeoverFactor is the share of its part of the fixed number that a process has in the first
+	// window after it took the place of another one. With it, the two together stay within the part.
+	takeoverFactor = 0.2
 )
 
 // A Meter counts the requests and retries of one service in the last window. The zero
@@ -45,7 +63,7 @@
 }
 
 func (m *Meter) bucket(c Config, now time.Time) *bucket {
-	index := now.UnixNano() / (int64(c.Window) / (bucketCount - 1))
+	index := now.UnixNano() / int64(c.bucketLength())
 	b := &m.buckets[index%bucketCount]
 	if b.index != index {
 		*b = bucket{index: index}
@@ -56,6 +74,12 @@
 // AddRequest counts the first attempt of a request.
 func (m *Meter) AddRequest(c Config, now time.Time) { m.bucket(c, now).requests++ }
 
+// Idle reports whether there were no requests and no retries in the last window.
+func (m *Meter) Idle(c Config, now time.Time) bool {
+	requests, retries := m.totals(c, now)
+	return requests == 0 && retries == 0
+}
+
 // Spend reports whether the budget allows a retry and, if so, counts it. The budget is
 // shared by the given number of nodes.
 func (m *Meter) Spend(c Config, now time.Time, nodes int) bool {
@@ -68,14 +92,19 @@
 
 // Remaining returns how many retries the budget currently allows.
 func (m *Meter) Remaining(c Config, now time.Time, nodes int) float64 {
+	requests, retries := m.totals(c, now)
+	allowed := safetyFactor * (c.Ratio*requests + c.slackOf(now, nodes))
+	return allowed - retries
+}
+
+// totals returns the requests and retries of the last window.
+func (m *Meter) totals(c Config, now time.Time) (requests, retries float64) {
 	current := m.bucket(c, now)
-	requests, retries := 0.0, 0.0
 	for i := range m.buckets {
 		if m.buckets[i].index > current.index-bucketCount {
 			requests += m.buckets[i].requests
 			retries += m.buckets[i].retries
 		}
 	}
-	allowed := safetyFactor * (c.Ratio*requests + c.Slack/float64(max(nodes, 1)))
-	return allowed - retries
+	return requests, retries
 }
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -35,6 +35,9 @@
 	Seeds []string
 	// Budget is the retry budget that all nodes share.
 	Budget budget.Config
+	// TakesOver is true if the process may take the place of another one of the node, which has used
+	// the node's part of the retry budget.
+	TakesOver bool
 	// Warmup bounds the requests that a cold upstream may get beyond its announced rate.
 	Warmup pace.Bounds
 	// Grace is the time from the stop signal until the process is killed.
@@ -66,7 +69,7 @@
 
 // ParseEntry parses and validates the text of the settings file of an entry host.
 func ParseEntry(file string, data []byte) (*EntrySettings, error) {
-	e := &EntrySettings{Budget: budget.DefaultConfig(), Warmup: pace.DefaultBounds(), Grace: defaultGrace, Memory: defaultMemory}
+	e := &EntrySettings{Budget: budget.DefaultConfig(), Warmup: pace.DefaultBounds(), Grace: defaultGrace, Memory: defaultMemory, TakesOver: true}
 	c, err := newChecker(file, data)
 	if err != nil {
 		return nil, err
@@ -91,6 +94,7 @@
 	return []setting{
 		{"node", "id", true, nonEmpty(&e.Node)},
 		{"node", "zone", true, nonEmpty(&e.Zone)},
+		{"node", "first_start", false, optional(opposite(&e.TakesOver))},
 		{"node", "grace", false, duration(&e.Grace, time.Second, time.Hour)},
 		{"node", "memory", false, size(&e.Memory, 32<<20, 1<<40)},
 		{"node", "descriptors", false, descriptors(&e.Descriptors)},
@@ -131,6 +135,18 @@
 	}
 }
 
+// opposite parses a truth value and stores its opposite.
+func opposite(dst *bool) func(string) error {
+	return func(value string) error {
+		b, err := strconv.ParseBool(value)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", value)
+		}
+		*dst = !b
+		return nil
+	}
+}
+
 // optional ignores an empty value and passes any other to parse.
 func optional(parse func(string) error) func(string) error {
 	return func(value string) error {
--- a/conf/entry_test.go
+++ b/conf/entry_test.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// A process may take the place of another one unless the settings say that it cannot.
+func TestParseEntryFirstStart(t *testing.T) {
+	for text, want := range map[string]bool{"": true, "first_start =\n": true, "first_start = false\n": true, "first_start = true\n": false} {
+		e, err := ParseEntry("node.ini", []byte(strings.Replace(validEntry, "zone = a\n", "zone = a\n"+text, 1)))
+		if err != nil || e.TakesOver != want {
+			t.Errorf("%q: takes over is %t (%v), want %t", text, e.TakesOver, err, want)
+		}
+	}
+}
+
 func TestParseEntryHeartbeatErrors(t *testing.T) {
 	for _, value := range []string{"0", "-1", "1.5", "800ms", "3600001", "99999999999999999999"} {
 		_, err := ParseEntry("node.ini", []byte(strings.Replace(validEntry, "[members]", "heartbeat_ms = "+value+"\n[members]", 1)))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"teaselplank/batch"
+	"teaselplank/budget"
 	"teaselplank/cases"
 	"teaselplank/conf"
 	"teaselplank/conns"
@@ -167,16 +168,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("generate incarnation: %w", err)
 	}
+	started := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	requests, endRequests := context.WithCancel(ctx)
 	s := &Server{
 		settings: o.Settings,
 		protocol: o.Protocol,
 		logger:   o.Logger,
-		started:  time.Now(),
+		started:  started,
 		self:     member.Node{ID: o.Settings.Node, Incarnation: id.String(), Addr: o.Settings.PeerAddr(), Zone: o.Settings.Zone, Processor: o.Settings.Processor},
 		node: proxy.New(proxy.Config{
-			Zone: o.Settings.Zone, Budget: o.Settings.Budget, KeepDelay: keepDelay(o.Settings.Node),
+			Zone: o.Settings.Zone, Budget: retryBudget(o.Settings, started), KeepDelay: keepDelay(o.Settings.Node),
 		}),
 		peers:    newPeers(),
 		bounds:   newBounds(o.Settings),
@@ -208,6 +210,15 @@
 	return s, nil
 }
 
+// retryBudget returns the retry budget of a process that was started at a time.
+func retryBudget(settings *conf.EntrySettings, started time.Time) budget.Config {
+	c := settings.Budget
+	if settings.TakesOver {
+		c.Started = started
+	}
+	return c
+}
+
 // peerSuspectAfter is how long another node may be silent before others take over
 // what it owns.
 const peerSuspectAfter = 2500 * time.Millisecond
