proxy: keep the retry budget of a service that loses its last upstream

A service whose last upstream left and came back had its whole retry budget again within the same window.

Cause: the budget was a field of the pool, which is dropped with the last upstream.

Change: budgets are kept by service, and forgotten once they are as good as new.

Evidence: TestRetryBudgetLostWithLastUpstream fails when a budget is forgotten with the pool (a mutant shows it); TestRetryBudgetsAreForgotten bounds what is kept.

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,9 +17,10 @@
 
 // A pool is the upstreams of a service.
 type pool struct {
-	upstreams   []*upstream
-	byID        map[string]*upstream
-	retryBudget budget.Meter
+	upstreams []*upstream
+	byID      map[string]*upstream
+	// retryBudget is that of the service in Node.retryBudgets.
+	retryBudget *budget.Meter
 	// returns are the times at which clients that were refused for the limits of upstreams
 	// may return.
 	returns queue.Schedule
@@ -95,10 +97,9 @@
 	for _, u := range upstreams {
 		p := n.pools[u.Service]
 		if p == nil {
-			p = &pool{byID: make(map[string]*upstream)}
+			p = &pool{byID: make(map[string]*upstream), retryBudget: n.retryBudget(u.Service)}
 			if previous := old[u.Service]; previous != nil {
-				p.retryBudget, p.returns, p.hasGaps = previous.retryBudget, previous.returns, previous.hasGaps
-				p.speeds = previous.speeds
+				p.returns, p.hasGaps, p.speeds = previous.returns, previous.hasGaps, previous.speeds
 			}
 			n.pools[u.Service] = p
 		}
@@ -113,6 +114,25 @@
 		p.byID[u.ID] = known
 	}
 	n.countWorkers()
+	n.forgetRetryBudgets(now)
+}
+
+// retryBudget returns the retry budget of a service. It is kept while the service has no upstream,
+// so that retries of before count when it has one again.
+func (n *Node) retryBudget(service string) *budget.Meter {
+	m := n.retryBudgets[service]
+	if m == nil {
+		m = &budget.Meter{}
+		n.retryBudgets[service] = m
+	}
+	return m
+}
+
+// forgetRetryBudgets forgets those of services without upstreams that are as good as new.
+func (n *Node) forgetRetryBudgets(now time.Time) {
+	maps.DeleteFunc(n.retryBudgets, func(service string, m *budget.Meter) bool {
+		return n.pools[service] == nil && m.Idle(n.config.Budget, now)
+	})
 }
 
 // candidates returns the usable upstreams of the pool that a request may be sent to and
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -37,9 +37,11 @@
 type Node struct {
 	config Config
 	// table is the configuration in force, or nil. Its version never decreases.
-	table    *fleet.Table
-	pools    map[string]*pool
-	requests map[uint64]*request
+	table *fleet.Table
+	pools map[string]*pool
+	// retryBudgets has the retry budget of each service that has upstreams or had some lately.
+	retryBudgets map[string]*budget.Meter
+	requests     map[uint64]*request
 	// versions are the software versions that each service has had lately.
 	versions origin.Versions
 	// defaults are the default versions of services. defaultsRank is the number of nodes that
@@ -97,6 +99,7 @@
 	return &Node{
 		config:          config,
 		pools:           make(map[string]*pool),
+		retryBudgets:    make(map[string]*budget.Meter),
 		requests:        make(map[uint64]*request),
 		firstEventTimes: make(map[string]time.Duration),
 		beginTimes:      make(durationsByRoute),
