--- a/relay/late_read_test.go
+++ b/relay/late_read_test.go
@@ -104,7 +104,7 @@
 				registry.next.Store(&c.fault)
 				d.await("the read is sent", registry.begun.Load)
 				time.Sleep(after)
-				took := d.untilDropped("desk-a", 3*drainTime)
+				took := d.untilDropped("desk-a", d.nodes)
 				t.Logf("dropped by all nodes after %s", took.Round(time.Millisecond))
 				if took > drainTime {
 					t.Errorf("a removed upstream is used for %s, want %s at most", took, drainTime)
@@ -114,22 +114,24 @@
 	}
 }
 
-// untilDropped removes the entry of an upstream, which goes on serving, and returns how long it
-// takes until the last node drops it, or length if that is not enough.
-func (d *deployment) untilDropped(id string, length time.Duration) time.Duration {
+// removeEntry removes the entry of an upstream, which goes on serving.
+func (d *deployment) removeEntry(id string) {
 	d.workers[id].StopHeartbeat()
 	d.store.RemoveEntry(id)
-	for started := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		left := 0
-		for _, n := range d.nodes {
-			if d.knows(n, id) {
-				left++
-			}
-		}
-		if passed := time.Since(started); left == 0 || passed > length {
-			return passed
+}
+
+// untilDropped removes the entry of an upstream and returns how long it takes until the last of the
+// nodes drops it, or a time that exceeds all bounds.
+func (d *deployment) untilDropped(id string, nodes []*testNode) time.Duration {
+	const tooLong = 6 * time.Second
+	d.removeEntry(id)
+	started := time.Now()
+	for _, n := range nodes {
+		for d.knows(n, id) && time.Since(started) < tooLong {
+			time.Sleep(5 * time.Millisecond)
 		}
 	}
+	return time.Since(started)
 }
 
 // deployRefused starts nodes in zones and returns the registries by which the store can refuse them.
@@ -151,8 +153,7 @@
 		r.refuse.Store(true)
 	}
 	time.Sleep(expiresAfter)
-	d.workers[id].StopHeartbeat()
-	d.store.RemoveEntry(id)
+	d.removeEntry(id)
 	time.Sleep(length - expiresAfter)
 	for _, r := range refused {
 		r.refuse.Store(false)
--- a/relay/reader_reset_test.go
+++ b/relay/reader_reset_test.go
@@ -23,34 +23,6 @@
 // reach lets a node reach the store again.
 func (d *largeDeployment) reach(n *testNode) { d.registries[n.id()].refuse.Store(false) }
 
-// removeEntry removes the entry of an upstream, which goes on serving.
-func (d *largeDeployment) removeEntry(id string) {
-	d.workers[id].StopHeartbeat()
-	d.store.RemoveEntry(id)
-}
-
-// untilDroppedBut returns how long it takes until the last node that is not in disturbed has dropped
-// an upstream, or length if that is not enough.
-func (d *largeDeployment) untilDroppedBut(id string, disturbed []*testNode, length time.Duration) time.Duration {
-	left := make(map[*testNode]bool)
-	for _, n := range d.nodes {
-		left[n] = true
-	}
-	for _, n := range disturbed {
-		delete(left, n)
-	}
-	for started := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		for n := range left {
-			if !d.knows(n, id) {
-				delete(left, n)
-			}
-		}
-		if passed := time.Since(started); len(left) == 0 || passed > length {
-			return passed
-		}
-	}
-}
-
 // followedReader returns the reader of a zone that most nodes follow.
 func (d *largeDeployment) followedReader(zone string) *testNode {
 	followers := make(map[string]int)
@@ -63,14 +35,19 @@
 	})
 }
 
-// wantNoGrace checks that only disturbed nodes have put off removals.
-func (d *largeDeployment) wantNoGrace(disturbed []*testNode) {
+// without returns the nodes that are not among some.
+func (d *largeDeployment) without(some []*testNode) []*testNode {
+	return slices.DeleteFunc(slices.Clone(d.nodes), func(n *testNode) bool { return slices.Contains(some, n) })
+}
+
+// wantNoGrace checks that nodes have not put off removals.
+func (d *largeDeployment) wantNoGrace(nodes []*testNode) {
 	d.t.Helper()
-	for _, n := range d.nodes {
+	for _, n := range nodes {
 		n.server.mu.Lock()
 		until := n.server.directory.GraceUntil()
 		n.server.mu.Unlock()
-		if !until.IsZero() && !slices.Contains(disturbed, n) {
+		if !until.IsZero() {
 			d.t.Errorf("%s has taken the failures of its reader for an outage of the store", n.id())
 		}
 	}
@@ -117,13 +94,12 @@
 				time.Sleep(time.Second)
 				disturbed := c.begin(d)
 				time.Sleep(removeAfter)
-				d.removeEntry("desk-a")
-				took := d.untilDroppedBut("desk-a", disturbed, 2*withinBound)
+				took := d.untilDropped("desk-a", d.without(disturbed))
 				t.Logf("all nodes that are not disturbed drop the upstream after %s", took.Round(time.Millisecond))
 				if took > changeBound {
 					t.Errorf("nodes that are not disturbed use a removed upstream for %s, want %s at most", took, changeBound)
 				}
-				d.wantNoGrace(disturbed)
+				d.wantNoGrace(d.without(disturbed))
 			})
 		}
 	}
@@ -204,8 +180,7 @@
 	late := d.addNodeWith(settings)
 	d.await("the node has learned the upstreams", func() bool { return d.knows(late, "desk-a") })
 	w := d.workers["desk-a"]
-	w.StopHeartbeat()
-	d.store.RemoveEntry(w.ID)
+	d.removeEntry(w.ID)
 	d.store.SetUnavailable(false)
 	for end := time.Now().Add(1800 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, n := range d.nodes {
