budget: let a process that takes over retry at once with small budgets

What callers saw: with the default budget (10 retries, two hosts) a request that one upstream refuses ended with 503 at hosts that had just started, although another upstream had room.

Change: it has what the process before leaves of the part, 0.3. Both together stay within the part as before (TestBudgetUsedTwiceByRestart).

Evidence: TestFirstRetryOfProcessThatTakesOver fails with 0.14 of the part.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -19,13 +19,14 @@
 	Started time.Time
 }
 
-// slackOf returns the node's part of the fixed number at a time.
+// slackOf returns what the node may use of the fixed number at a time. In the first window that
+// is what the process before it has left of the node's part.
 func (c Config) slackOf(now time.Time, nodes int) float64 {
 	part := c.Slack / float64(max(nodes, 1))
 	if !c.Started.IsZero() && now.Sub(c.Started) < c.Window+c.bucketLength() {
-		return part * takeoverFactor
+		return part * (1 - safetyFactor)
 	}
-	return part
+	return part * safetyFactor
 }
 
 // bucketLength returns the length of the time interval of a bucket.
@@ -43,9 +44,6 @@
 	// safetyFactor is the share of the budget that is used, because the buckets of
 	// different nodes differ at the edges of a window.
 	safetyFactor = 0.7
-	// takeoverFactor is the share of its part of the fixed number that a process has in the first
-	// window after it took the place of another one. With it, the two together stay within the part.
-	takeoverFactor = 0.2
 )
 
 // A Meter counts the requests and retries of one service in the last window. The zero
@@ -93,8 +91,7 @@
 // Remaining returns how many retries the budget currently allows.
 func (m *Meter) Remaining(c Config, now time.Time, nodes int) float64 {
 	requests, retries := m.totals(c, now)
-	allowed := safetyFactor * (c.Ratio*requests + c.slackOf(now, nodes))
-	return allowed - retries
+	return safetyFactor*c.Ratio*requests + c.slackOf(now, nodes) - retries
 }
 
 // totals returns the requests and retries of the last window.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -104,6 +104,18 @@
 	})
 }
 
+// With the default budget, too, a process that takes the place of another one may retry at once, in
+// deployments of up to three nodes.
+func TestFirstRetryOfProcessThatTakesOver(t *testing.T) {
+	c := DefaultConfig()
+	c.Started = start
+	for nodes := 1; nodes <= 3; nodes++ {
+		if !new(Meter).Spend(c, start, nodes) {
+			t.Errorf("%d nodes: no retry is allowed after the start", nodes)
+		}
+	}
+}
+
 // A process that takes the place of another one may still retry: by its own requests and a part of
 // the fixed number at once, and by all of its part after a window.
 func TestRetriesOfProcessThatTakesOver(t *testing.T) {
