relay: a gap of its own ends what a host shows of the store

Suspected cause, not traced: another host's view counted as whole although it had a gap, too short for an outage by itself. Any failed call now ends the time that it shows.

--- a/relay/outage.go
+++ b/relay/outage.go
@@ -49,7 +49,7 @@
 		s.streamState(infra.StreamConfig).cancelRead()
 		s.streamState(infra.StreamCrashes).cancelRead()
 	}
-	state.viewed(at, grace)
+	state.viewed(at, recovered)
 	s.mu.Unlock()
 	if recovered {
 		s.logger.Info("store is reachable again", "stream", string(stream), "missed_ms", missed.Until.Sub(missed.From).Milliseconds(),
--- a/relay/store.go
+++ b/relay/store.go
@@ -101,8 +101,8 @@
 // nothing.
 type streamState struct {
 	// lastRead is when the view was last known to be whole, or when the node started
-	// reading. known is true once it was. since is when it was first so after the last
-	// outage of the store.
+	// reading. known is true once it was. since is when it was first so after the last failed
+	// call.
 	lastRead, since time.Time
 	known           bool
 	// failing is true if the last read failed.
@@ -123,10 +123,10 @@
 	return state
 }
 
-// viewed records that the view was whole at a time, either for the first time after an outage of the
-// store or not.
-func (s *streamState) viewed(at time.Time, afterOutage bool) {
-	if !s.known || afterOutage {
+// viewed records that the view was whole at a time, either for the first time after calls of the store
+// have failed or not.
+func (s *streamState) viewed(at time.Time, afterFailure bool) {
+	if !s.known || afterFailure {
 		s.since = at
 	}
 	s.known, s.failing = true, false
