conf, tests: call what was there already

The parser of milliseconds repeats that of whole numbers, which it calls now. Two tests of the retry budget share one check of the windows, and three tests of store outages one loop.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -28,18 +28,24 @@
 				retries = append(retries, now)
 			}
 		}
-		for _, end := range retries {
-			spent := within(retries, end, c.Window)
-			// Requests of this window or of the previous one count.
-			counted := max(within(requests, end, c.Window), within(requests, end.Add(-c.Window), c.Window))
-			allowed := c.Ratio*float64(max(counted, within(requests, end, 2*c.Window)/2)) + c.Slack
-			if float64(spent) > allowed {
-				t.Fatalf("%d retries in a window with %d requests, want at most %.1f", spent, counted, allowed)
-			}
-		}
+		wantWithinBudget(t, c, requests, retries)
 	})
 }
 
+// wantWithinBudget checks that no window has more retries than the budget allows for the requests.
+func wantWithinBudget(t *rapid.T, c Config, requests, retries []time.Time) {
+	t.Helper()
+	for _, end := range retries {
+		spent := within(retries, end, c.Window)
+		// Requests of this window or of the previous one count.
+		counted := max(within(requests, end, c.Window), within(requests, end.Add(-c.Window), c.Window))
+		allowed := c.Ratio*float64(max(counted, within(requests, end, 2*c.Window)/2)) + c.Slack
+		if float64(spent) > allowed {
+			t.Fatalf("%d retries in a window with %d requests, want at most %.1f", spent, counted, allowed)
+		}
+	}
+}
+
 func within(times []time.Time, end time.Time, window time.Duration) int {
 	count := 0
 	for _, at := range times {
@@ -94,13 +100,7 @@
 				retries = append(retries, now)
 			}
 		}
-		for _, end := range retries {
-			counted := max(within(requests, end, c.Window), within(requests, end.Add(-c.Window), c.Window))
-			allowed := c.Ratio*float64(max(counted, within(requests, end, 2*c.Window)/2)) + c.Slack
-			if spent := within(retries, end, c.Window); float64(spent) > allowed {
-				t.Fatalf("%d retries in a window with %d requests, want at most %.1f", spent, counted, allowed)
-			}
-		}
+		wantWithinBudget(t, c, requests, retries)
 	})
 }
 
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -107,7 +107,7 @@
 		{"listen", "advertise", false, optional(address(&e.Advertise))},
 
 		{"platform", "store", true, address(&e.Store)},
-		{"platform", "heartbeat_ms", false, optional(milliseconds(&e.Heartbeat))},
+		{"platform", "heartbeat_ms", false, optional(milliseconds(&e.Heartbeat, time.Hour))},
 
 		{"members", "seeds", false, optional(addresses(&e.Seeds))},
 
@@ -157,20 +157,6 @@
 	}
 }
 
-// maxShortTime bounds the times that are given in milliseconds.
-const maxShortTime = time.Hour
-
-func milliseconds(dst *time.Duration) func(string) error {
-	return func(value string) error {
-		n, err := strconv.Atoi(value)
-		if err != nil || n < 1 || n > int(maxShortTime.Milliseconds()) {
-			return fmt.Errorf("%q is not a number of milliseconds from 1 to %d", value, maxShortTime.Milliseconds())
-		}
-		*dst = time.Duration(n) * time.Millisecond
-		return nil
-	}
-}
-
 func nonNegative(dst *float64) func(string) error {
 	return func(value string) error {
 		f, err := strconv.ParseFloat(value, 64)
--- a/conf/value.go
+++ b/conf/value.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// milliseconds parses a time of 1 ms to high that is given as a number of milliseconds.
+func milliseconds(dst *time.Duration, high time.Duration) func(string) error {
+	return func(value string) error {
+		var n int
+		if err := integer(&n, 1, int(high.Milliseconds()))(value); err != nil {
+			return fmt.Errorf("%q is not a number of milliseconds: %w", value, err)
+		}
+		*dst = time.Duration(n) * time.Millisecond
+		return nil
+	}
+}
+
 func integer(dst *int, low, high int) func(string) error {
 	return func(value string) error {
 		n, err := strconv.Atoi(value)
--- a/relay/reader_reset_test.go
+++ b/relay/reader_reset_test.go
@@ -116,6 +116,18 @@
 	end()
 }
 
+// wantKept checks that no node drops an upstream for some time after an outage.
+func (d *deployment) wantKept(id string, length time.Duration) {
+	d.t.Helper()
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range d.nodes {
+			if !d.knows(n, id) {
+				d.t.Fatalf("%s has dropped an upstream whose lease expired in the outage", n.id())
+			}
+		}
+	}
+}
+
 // refusingTwice lets the store refuse all calls, serve for a moment and refuse them again.
 func refusingTwice(d *deployment) (end func()) {
 	const first, between = 1500 * time.Millisecond, 300 * time.Millisecond
@@ -157,13 +169,7 @@
 			d.expireDuring("desk-a", c.outage)
 			w := d.workers["desk-a"]
 			time.AfterFunc(rewriteAfter, func() { _ = d.store.PutNextEntry(w) })
-			for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-				for _, n := range d.nodes {
-					if !d.knows(n, w.ID) {
-						t.Fatalf("%s has dropped an upstream whose lease expired in the outage", n.id())
-					}
-				}
-			}
+			d.wantKept(w.ID, watched)
 		})
 	}
 }
@@ -182,11 +188,5 @@
 	w := d.workers["desk-a"]
 	d.removeEntry(w.ID)
 	d.store.SetUnavailable(false)
-	for end := time.Now().Add(1800 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, n := range d.nodes {
-			if !d.knows(n, w.ID) {
-				t.Fatalf("%s has dropped an upstream whose lease expired in the outage", n.server.self.ID)
-			}
-		}
-	}
+	d.wantKept(w.ID, 1800*time.Millisecond)
 }
--- a/relay/readers_test.go
+++ b/relay/readers_test.go
@@ -367,13 +367,7 @@
 	// The lease of a sound upstream ends with the outage.
 	d.store.RemoveEntry("engine-a")
 	d.store.SetUnavailable(false)
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, n := range d.nodes {
-			if !d.knows(n, "engine-a") {
-				t.Fatalf("%s has dropped an upstream whose lease ended in the outage", n.id())
-			}
-		}
-	}
+	d.wantKept("engine-a", 2*time.Second)
 	d.awaitRoles(2)
 	d.checkBounds("desk-d")
 }
