--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -42,7 +42,7 @@
 // the store can have been away.
 type Gap struct{ From, Until time.Time }
 
-// A View is a time in which a node had a view of the entries without an outage.
+// A View is a time in which a node had a view of the entries without a gap after failed calls.
 type View struct{ Since, Until time.Time }
 
 // Add records a gap that has ended, and reports whether the lease of a live upstream may have
--- a/relay/late_read_test.go
+++ b/relay/late_read_test.go
@@ -178,6 +178,31 @@
 	}
 }
 
+// A node must not show that the store has served while its own read has failed: a gap that is too short
+// for a lease to expire may be a part of an outage.
+func TestFailedReadEndsView(t *testing.T) {
+	registry := &readFaultRegistry{}
+	d := deployZones(t, "a", func(_ int, r infra.Registry) infra.Registry {
+		registry.Registry = r
+		return registry
+	})
+	n := d.nodes[0]
+	since := func() time.Time {
+		n.server.mu.Lock()
+		defer n.server.mu.Unlock()
+		v := n.server.viewMessage()
+		return time.Now().Add(-time.Duration(v.GetLengthMs()+v.GetAgeMs()) * time.Millisecond)
+	}
+	refused := time.Now()
+	if !since().Before(refused) {
+		t.Fatal("the node has no view from before the fault")
+	}
+	fault := readFault(refusedRead)
+	registry.next.Store(&fault)
+	d.await("the read is refused", registry.begun.Load)
+	d.await("the view begins after the refused read", func() bool { return since().After(refused) })
+}
+
 // A node that was cut off alone drops what the others of its zone have dropped, and uses an upstream
 // again that writes its entry once more.
 func TestUpstreamUsedAgainAfterCutOfOneNode(t *testing.T) {
